--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# VENV may name an existing environment with the dependencies installed.
+VENV ?= .venv
+PY := PYTHONPATH=src $(VENV)/bin/python
+SOURCES := src tests features scripts
+
+.PHONY: demo test lint format unit behave bench soak
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PY) -m bramleydyke.demo
+
+test: lint unit behave
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+unit: $(VENV)/.installed
+	$(PY) -m pytest
+
+behave: $(VENV)/.installed
+	$(PY) -m behave --no-capture --format progress features
+
+bench: $(VENV)/.installed
+	$(PY) -m bramleydyke.bench
+
+soak: $(VENV)/.installed
+	HISTORIES=$${HISTORIES:-50000} $(PY) -m pytest tests/history
--- /dev/null
+++ b/src/bramleydyke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the balancer and the agent, free of input and output."""
--- /dev/null
+++ b/src/bramleydyke/core/config.py
@@ -0,0 +1,271 @@
+"""Configuration in force: per-partner generations that only move forward."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import HOME_DELAY_S, OWNER_HISTORY_S
+from bramleydyke.types import (
+    AvailabilityZone,
+    Generation,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+)
+
+
+class UpstreamSpec(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream as the sheet declares it."""
+
+    upstream_id: UpstreamId
+    zone: AvailabilityZone
+    weight: float = 1.0
+    """Share of the service's load in relation to the other upstreams."""
+
+    slots: int = 1
+    """Requests that the upstream serves at the same time."""
+
+
+class ServiceConfig(msgspec.Struct, frozen=True, array_like=True):
+    """One service at the generation at which it last changed."""
+
+    service_id: ServiceId
+    partner_id: PartnerId
+    protocol: Protocol
+    addresses: tuple[ServiceAddress, ...]
+    upstreams: tuple[UpstreamSpec, ...]
+    changed_at: Generation = Generation(0)
+    """Generation of the partner's sheet that last changed this service."""
+
+    deleted: bool = False
+    """True for a tombstone: the sheet no longer has the service."""
+
+    def weights(self) -> dict[UpstreamId, float]:
+        """Returns the weight of each declared upstream."""
+        return {spec.upstream_id: spec.weight for spec in self.upstreams}
+
+
+class PartnerConfig(msgspec.Struct, frozen=True, array_like=True):
+    """One partner's sheet in force, as the platform stores it.
+
+    The writer stamps ``changed_at``, so that every process sees the same
+    stamps. If each reader stamped for itself, one that had missed a
+    generation could hand out deltas that leave out a reverted change.
+    """
+
+    partner_id: PartnerId
+    generation: Generation = Generation(0)
+    services: tuple[ServiceConfig, ...] = ()
+    """All services, tombstones included."""
+
+    change_id: str = ""
+    """Set by the writer, who finds a write again whose answer was lost."""
+
+
+class ConfigDelta(msgspec.Struct, tag=True, frozen=True, array_like=True):
+    """All entries of a partner that changed after a base generation.
+
+    Applied only by a process whose generation is at least ``base``.
+    """
+
+    partner_id: PartnerId
+    base: Generation
+    generation: Generation
+    services: tuple[ServiceConfig, ...]
+
+
+def full_delta(config: PartnerConfig) -> ConfigDelta:
+    """Returns a delta that brings any process up to a configuration."""
+    return ConfigDelta(
+        partner_id=config.partner_id,
+        base=Generation(0),
+        generation=config.generation,
+        services=config.services,
+    )
+
+
+@dataclass(slots=True)
+class OwnerSet:
+    """Weights of a service that were in force until a time."""
+
+    weights: dict[UpstreamId, float]
+    until: float
+
+
+@dataclass(slots=True)
+class ConfigStore:
+    """Configuration that one process holds.
+
+    Attributes:
+        generations: Newest applied generation of each partner.
+        services: Entry of each service, tombstones included.
+        history: Earlier owner sets of a service, newest first.
+        by_address: Service of each address in force.
+    """
+
+    generations: dict[PartnerId, Generation] = field(default_factory=dict)
+    services: dict[ServiceId, ServiceConfig] = field(default_factory=dict)
+    history: dict[ServiceId, list[OwnerSet]] = field(default_factory=dict)
+    by_address: dict[ServiceAddress, ServiceId] = field(default_factory=dict)
+
+    def generation(self, partner_id: PartnerId) -> Generation:
+        """Returns the partner's newest applied generation, 0 if none."""
+        return self.generations.get(partner_id, Generation(0))
+
+    def service(self, service_id: ServiceId) -> ServiceConfig | None:
+        """Returns a service that is in force."""
+        entry = self.services.get(service_id)
+        return None if entry is None or entry.deleted else entry
+
+    def apply(self, delta: ConfigDelta, *, now: float) -> bool:
+        """Takes a delta into force.
+
+        Entries of another partner's services are left out, and an address
+        stays with the service that holds it: one partner cannot change the
+        other's.
+
+        Returns:
+            True if the generation moved forward.
+        """
+        current = self.generation(delta.partner_id)
+        if delta.generation <= current or delta.base > current:
+            return False
+        for entry in delta.services:
+            if self._allowed(entry, delta.partner_id):
+                known = self.services.get(entry.service_id)
+                if known is not None:
+                    self._remember(known, entry, now=now)
+                self.services[entry.service_id] = entry
+        self._assign_addresses()
+        self.generations[delta.partner_id] = delta.generation
+        return True
+
+    def delta_since(self, partner_id: PartnerId, base: Generation) -> ConfigDelta:
+        """Returns what a process at generation ``base`` lacks."""
+        return ConfigDelta(
+            partner_id=partner_id,
+            base=base,
+            generation=self.generation(partner_id),
+            services=tuple(
+                entry
+                for entry in self.services.values()
+                if entry.partner_id == partner_id and entry.changed_at > base
+            ),
+        )
+
+    def earlier_owners(
+        self, service_id: ServiceId, *, now: float
+    ) -> list[dict[UpstreamId, float]]:
+        """Returns the owner sets still in history, newest first."""
+        kept = [item for item in self.history.get(service_id, ()) if item.until > now]
+        if kept:
+            self.history[service_id] = kept
+        else:
+            self.history.pop(service_id, None)
+        return [item.weights for item in kept]
+
+    def settled_weights(
+        self, service_id: ServiceId, *, now: float
+    ) -> dict[UpstreamId, float]:
+        """Returns the upstreams that every process knows by now.
+
+        Leaves out those declared less than ``HOME_DELAY_S`` ago, unless that
+        leaves none.
+        """
+        entry = self.service(service_id)
+        if entry is None:
+            return {}
+        horizon = now - HOME_DELAY_S + OWNER_HISTORY_S
+        recent = [
+            item.weights
+            for item in self.history.get(service_id, ())
+            if item.until > horizon
+        ]
+        settled = {
+            upstream: weight
+            for upstream, weight in entry.weights().items()
+            if all(upstream in weights for weights in recent)
+        }
+        return settled or entry.weights()
+
+    def _allowed(self, entry: ServiceConfig, partner_id: PartnerId) -> bool:
+        known = self.services.get(entry.service_id)
+        return entry.partner_id == partner_id and (
+            known is None or known.partner_id == partner_id
+        )
+
+    def _assign_addresses(self) -> None:
+        """Gives each address to one service.
+
+        The service that holds an address keeps it until its own partner gives
+        it up, whatever order the partners' changes arrive in.
+        """
+        in_force = [entry for entry in self.services.values() if not entry.deleted]
+        wanted = [
+            (address, entry.service_id)
+            for entry in in_force
+            for address in entry.addresses
+        ]
+        held = dict(pair for pair in wanted if self.by_address.get(pair[0]) == pair[1])
+        self.by_address = dict(wanted) | held
+
+    def _remember(
+        self, known: ServiceConfig, entry: ServiceConfig, *, now: float
+    ) -> None:
+        if known.weights() == entry.weights():
+            return
+        earlier = OwnerSet(weights=known.weights(), until=now + OWNER_HISTORY_S)
+        self.history.setdefault(entry.service_id, []).insert(0, earlier)
+
+
+def next_config(
+    previous: PartnerConfig, wanted: Iterable[ServiceConfig], *, change_id: str
+) -> PartnerConfig:
+    """Returns the configuration that follows ``previous``.
+
+    Unchanged services keep their stamp; services that are no longer wanted
+    become tombstones.
+
+    Args:
+        previous: The configuration in force.
+        wanted: All services of the new sheet, stamps ignored.
+        change_id: Identifies this change for the writer.
+    """
+    generation = Generation(previous.generation + 1)
+    known = {entry.service_id: entry for entry in previous.services}
+    kept = [
+        _stamped(entry, known.get(entry.service_id), generation) for entry in wanted
+    ]
+    kept_ids = {entry.service_id for entry in kept}
+    removed = [
+        entry if entry.deleted else _tombstone(entry, generation)
+        for entry in previous.services
+        if entry.service_id not in kept_ids
+    ]
+    return PartnerConfig(
+        partner_id=previous.partner_id,
+        generation=generation,
+        services=tuple(kept + removed),
+        change_id=change_id,
+    )
+
+
+def _stamped(
+    entry: ServiceConfig, known: ServiceConfig | None, generation: Generation
+) -> ServiceConfig:
+    if known is not None and known == msgspec.structs.replace(
+        entry, changed_at=known.changed_at
+    ):
+        return known
+    return msgspec.structs.replace(entry, changed_at=generation)
+
+
+def _tombstone(entry: ServiceConfig, generation: Generation) -> ServiceConfig:
+    return msgspec.structs.replace(
+        entry, deleted=True, addresses=(), upstreams=(), changed_at=generation
+    )
--- /dev/null
+++ b/src/bramleydyke/core/placement.py
@@ -0,0 +1,427 @@
+"""Finds an agent for a request without ever giving it to two at once.
+
+A request is at one agent at a time. It moves on only after that agent has
+refused it for good; an offer without a reply is repeated at the same agent.
+The balancer and the home agent of a keyed request both place requests.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import (
+    ACCEPTED_POLL_S,
+    CHAIN_LENGTH,
+    OFFER_TIMEOUT_S,
+    SILENT_OFFERS,
+)
+from bramleydyke.core.load import LoadView
+from bramleydyke.core.members import Members
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.retry import RetryBudget, backoff
+from bramleydyke.core.timers import Timers
+from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
+from bramleydyke.messages import (
+    Accepted,
+    Answer,
+    Cancelled,
+    CancelRequest,
+    Count,
+    Envelope,
+    Offer,
+    Payload,
+    Refusal,
+)
+from bramleydyke.types import (
+    LOCAL_METRICS,
+    Generation,
+    Incarnation,
+    MemberState,
+    NodeId,
+    Outcome,
+    PartnerId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+MAX_MOVES = 4
+"""Times that a keyed request follows a pointer to another home in a round."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Placement:
+    """One request on its way to an agent.
+
+    Attributes:
+        candidates: Upstreams not yet asked in this round, best first.
+        refused: Backlog that each upstream told when it was busy.
+        upstream_id: The upstream that has the request now, if any.
+        accepted: True once the agent has said that it has the request.
+        may_have_run: True once an agent was left that did not refuse it.
+        excluded: Upstreams that said they are leaving.
+    """
+
+    number: int
+    request_id: RequestId
+    partner_id: PartnerId
+    service_id: ServiceId
+    generation: Generation
+    idempotent: bool
+    keyed: bool
+    first_attempt_until: float
+    """Until then the caller cannot have repeated the request."""
+
+    deadline: float
+    payload: bytes
+    first_pass_only: bool = False
+    candidates: list[UpstreamId] = field(default_factory=list)
+    refused: dict[UpstreamId, float] = field(default_factory=dict)
+    upstream_id: UpstreamId | None = None
+    incarnation: Incarnation = Incarnation(0)
+    backlog_limit: float | None = None
+    ask: int = 0
+    silent: int = 0
+    rounds: int = 0
+    accepted: bool = False
+    cancelling: bool = False
+    may_have_run: bool = False
+    moves: int = 0
+    excluded: set[UpstreamId] = field(default_factory=set)
+    last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
+
+
+Ended = Callable[[Placement, Answer | ErrorKind, float], list[Envelope]]
+"""Told how and when a placement ended: the answer, or why there is none."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Placer:
+    """All requests that one process is placing.
+
+    Attributes:
+        node_id: This process.
+        members: Agents it knows.
+        usable: Upstreams of a service that may take new work.
+        weights: Weights of the upstreams that a request may go to at a time.
+        ended: Called at the end of each placement.
+        pending: Placements that have not ended, by number.
+    """
+
+    node_id: NodeId
+    members: Members
+    usable: Callable[[ServiceId], Iterable[UpstreamId]]
+    weights: Callable[[Placement, float], dict[UpstreamId, float]]
+    ended: Ended
+    random_source: random.Random
+    load: LoadView = field(default_factory=LoadView)
+    budgets: dict[ServiceId, RetryBudget] = field(default_factory=dict)
+    pending: dict[int, Placement] = field(default_factory=dict)
+    chain_length: int = CHAIN_LENGTH
+    timers: Timers[int] = field(default_factory=Timers)
+
+    def place(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Starts a placement."""
+        self.pending[placement.number] = placement
+        self.budget(placement.service_id).request(now=now)
+        self._fill(placement, now=now)
+        return self._next(placement, now=now)
+
+    def budget(self, service_id: ServiceId) -> RetryBudget:
+        """Returns the retry budget of a service."""
+        return self.budgets.setdefault(service_id, RetryBudget())
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        return self.timers.next()
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Repeats silent offers and ends overdue placements."""
+        due = [self.pending[number] for number in self.timers.pop_due(now)]
+        return [out for item in due for out in self._due(item, now=now)]
+
+    def cancel(self, number: int, *, now: float) -> list[Envelope]:
+        """Cancels a placement whose asker went away."""
+        placement = self.pending.get(number)
+        if placement is None:
+            return []
+        if placement.upstream_id is None:
+            return self._end(placement, ErrorKind.CANCELLED, now=now)
+        placement.cancelling = True
+        return self._send_current(placement, now=now)
+
+    def accepted(self, message: Accepted, *, now: float) -> list[Envelope]:
+        """Notes that an agent has the request."""
+        placement = self._current(message.placement, message.request_id)
+        if placement is None or message.incarnation != placement.incarnation:
+            return []
+        self._note_load(placement, message.backlog, now=now)
+        placement.accepted = True
+        placement.silent = 0
+        self._wake_at(placement, now + ACCEPTED_POLL_S)
+        return []
+
+    def _wake_at(self, placement: Placement, at: float) -> None:
+        self.timers.set(placement.number, min(at, placement.deadline))
+
+    def answered(
+        self, sender: NodeId, message: Answer, *, now: float
+    ) -> list[Envelope]:
+        """Ends a placement with its answer."""
+        self.load.report(sender, message.backlog, now=now)
+        placement = self._current(message.placement, message.request_id)
+        return [] if placement is None else self._end(placement, message, now=now)
+
+    def refused(
+        self, sender: NodeId, message: Refusal, *, now: float
+    ) -> list[Envelope]:
+        """Goes on after a refusal of the newest offer; ignores older ones."""
+        placement = self._current(message.placement, message.request_id)
+        if (
+            placement is None
+            or message.ask != placement.ask
+            or sender != self._node(placement)
+        ):
+            return []
+        self._note_load(placement, message.backlog, now=now)
+        self.members.observe(sender, message.incarnation)
+        counted = self._count(message.kind, "refused")
+        return counted + self._after_refusal(placement, message, now=now)
+
+    def cancelled(self, message: Cancelled, *, now: float) -> list[Envelope]:
+        """Ends a cancelled placement."""
+        placement = self._current(message.placement, message.request_id)
+        if placement is None or not placement.cancelling:
+            return []
+        kind = ErrorKind.CANCELLED if message.not_run else ErrorKind.ABANDONED
+        return self._end(placement, kind, now=now)
+
+    def _current(self, number: int, request_id: RequestId) -> Placement | None:
+        placement = self.pending.get(number)
+        if placement is None or placement.request_id != request_id:
+            return None
+        return placement
+
+    def _node(self, placement: Placement) -> NodeId | None:
+        if placement.upstream_id is None:
+            return None
+        return agent_node(placement.service_id, placement.upstream_id)
+
+    def _fill(self, placement: Placement, *, now: float) -> None:
+        """Chooses the candidates of a round."""
+        weights = self.weights(placement, now)
+        usable = set(self.usable(placement.service_id)) - placement.excluded
+        key = placement.request_id.encode()
+        if placement.keyed:
+            order = [up for up in owner_order(key, weights) if up in usable]
+            placement.candidates = order[:1]
+            placement.refused = {}
+            return
+        salt = self.random_source.randbytes(8)
+        order = [up for up in owner_order(salt, weights) if up in usable]
+        chain = order[: self.chain_length]
+        placement.refused = {}
+        placement.candidates = sorted(
+            chain, key=lambda up: self._estimate(placement, up, now) / weights[up]
+        )
+
+    def _estimate(self, placement: Placement, up: UpstreamId, now: float) -> float:
+        member = self.members.agent(placement.service_id, up)
+        slots = 1 if member is None else member.slots
+        node_id = agent_node(placement.service_id, up)
+        return self.load.estimate(node_id, slots=slots, now=now)
+
+    def _next(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Offers the request to the next candidate, or ends the round."""
+        if placement.candidates:
+            upstream_id = placement.candidates.pop(0)
+            limit = None if placement.keyed else 1.0
+            return self._offer(placement, upstream_id, limit, now=now)
+        if placement.refused and not placement.first_pass_only:
+            upstream_id = min(placement.refused, key=placement.refused.__getitem__)
+            del placement.refused[upstream_id]
+            return self._offer(placement, upstream_id, None, now=now)
+        if placement.first_pass_only:
+            return self._end(placement, placement.last_kind, now=now)
+        return self._next_round(placement, now=now)
+
+    def _next_round(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Waits before the next round of offers, if the budget allows one."""
+        delay = backoff(placement.rounds, random_source=self.random_source)
+        if now + delay >= placement.deadline:
+            return self._end(placement, placement.last_kind, now=now)
+        if not self.budget(placement.service_id).allow(now=now):
+            ended = self._end(placement, placement.last_kind, now=now)
+            return self._count(ErrorKind.RETRY_BUDGET, "refused") + ended
+        placement.rounds += 1
+        placement.upstream_id = None
+        placement.moves = 0
+        self._wake_at(placement, now + delay)
+        return self._count(placement.last_kind, "retried")
+
+    def _offer(
+        self,
+        placement: Placement,
+        upstream_id: UpstreamId,
+        backlog_limit: float | None,
+        *,
+        now: float,
+    ) -> list[Envelope]:
+        node_id = agent_node(placement.service_id, upstream_id)
+        placement.upstream_id = upstream_id
+        placement.incarnation = self.members.incarnation(node_id)
+        placement.backlog_limit = backlog_limit
+        placement.silent = 0
+        placement.accepted = False
+        self.load.started(node_id)
+        return self._send_current(placement, now=now)
+
+    def _send_current(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Sends the offer, or its cancellation, to the agent that has it."""
+        placement.ask += 1
+        wait = ACCEPTED_POLL_S if placement.accepted else OFFER_TIMEOUT_S
+        wait *= 2 ** min(placement.silent, 3)
+        self._wake_at(placement, now + wait)
+        message: Payload
+        if placement.cancelling:
+            message = CancelRequest(
+                request_id=placement.request_id,
+                placement=placement.number,
+                ask=placement.ask,
+                incarnation=placement.incarnation,
+            )
+        else:
+            message = Offer(
+                request_id=placement.request_id,
+                placement=placement.number,
+                ask=placement.ask,
+                partner_id=placement.partner_id,
+                service_id=placement.service_id,
+                generation=placement.generation,
+                incarnation=placement.incarnation,
+                idempotent=placement.idempotent,
+                keyed=placement.keyed,
+                first_attempt=now < placement.first_attempt_until,
+                ttl=placement.deadline - now,
+                backlog_limit=placement.backlog_limit,
+                payload=placement.payload,
+            )
+        receiver = self._node(placement)
+        assert receiver is not None
+        return [Envelope(self.node_id, receiver, message)]
+
+    def _due(self, placement: Placement, *, now: float) -> list[Envelope]:
+        if now >= placement.deadline:
+            return self._overdue(placement, now=now)
+        if placement.upstream_id is None:
+            self._fill(placement, now=now)
+            return self._next(placement, now=now)
+        placement.silent += 1
+        if self._lost(placement):
+            return self._after_loss(placement, ErrorKind.AGENT_SILENT, now=now)
+        counted = self._count(ErrorKind.AGENT_SILENT, "retried")
+        return counted + self._send_current(placement, now=now)
+
+    def _overdue(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Ends a placement at its deadline.
+
+        While an agent has an offer that it has not refused, the request may
+        have run.
+        """
+        if placement.upstream_id is None:
+            return self._end(placement, ErrorKind.DEADLINE, now=now)
+        node_id = self._node(placement)
+        assert node_id is not None
+        cancel = CancelRequest(
+            request_id=placement.request_id,
+            placement=placement.number,
+            ask=placement.ask + 1,
+            incarnation=placement.incarnation,
+        )
+        sent = [Envelope(self.node_id, node_id, cancel)]
+        return sent + self._end(placement, ErrorKind.AGENT_SILENT, now=now)
+
+    def _lost(self, placement: Placement) -> bool:
+        """Tells whether waiting for the agent any longer is useless."""
+        node_id = self._node(placement)
+        assert node_id is not None
+        member = self.members.by_node.get(node_id)
+        gone = member is None or member.state is MemberState.STOPPED
+        restarted = member is not None and member.incarnation != placement.incarnation
+        silent = placement.idempotent and placement.silent >= SILENT_OFFERS
+        return gone or restarted or silent
+
+    def _after_loss(
+        self, placement: Placement, kind: ErrorKind, *, now: float
+    ) -> list[Envelope]:
+        """Goes on with an idempotent request whose agent may have run it."""
+        if not placement.idempotent or placement.cancelling:
+            return self._end(placement, kind, now=now)
+        if not self.budget(placement.service_id).allow(now=now):
+            return self._end(placement, kind, now=now)
+        self._leave(placement)
+        placement.may_have_run = True
+        placement.last_kind = kind
+        if not placement.candidates:
+            self._fill(placement, now=now)
+        return self._count(kind, "retried") + self._next(placement, now=now)
+
+    def _after_refusal(
+        self, placement: Placement, message: Refusal, *, now: float
+    ) -> list[Envelope]:
+        upstream_id = placement.upstream_id
+        assert upstream_id is not None
+        if ANSWERS[message.kind].outcome is Outcome.UNKNOWN:
+            return self._after_loss(placement, message.kind, now=now)
+        if placement.cancelling:
+            return self._end(placement, ErrorKind.CANCELLED, now=now)
+        self._leave(placement)
+        placement.last_kind = message.kind
+        if message.kind is ErrorKind.MOVED and placement.keyed:
+            placement.moves += 1
+            if placement.moves <= MAX_MOVES and message.home is not None:
+                placement.candidates.insert(0, message.home)
+        elif message.kind is ErrorKind.DRAINING:
+            placement.excluded.add(upstream_id)
+        elif message.kind is ErrorKind.BUSY:
+            placement.refused[upstream_id] = message.backlog
+        elif message.kind is ErrorKind.DEADLINE:
+            return self._end(placement, message.kind, now=now)
+        return self._next(placement, now=now)
+
+    def _note_load(self, placement: Placement, backlog: float, *, now: float) -> None:
+        node_id = self._node(placement)
+        if node_id is not None:
+            self.load.report(node_id, backlog, now=now)
+
+    def _leave(self, placement: Placement) -> None:
+        node_id = self._node(placement)
+        if node_id is not None:
+            self.load.ended(node_id)
+        placement.upstream_id = None
+
+    def _end(
+        self, placement: Placement, result: Answer | ErrorKind, *, now: float
+    ) -> list[Envelope]:
+        """Ends a placement.
+
+        An earlier agent that may have run the request makes every later
+        refusal an unknown outcome.
+        """
+        self._leave(placement)
+        self.timers.cancel(placement.number)
+        del self.pending[placement.number]
+        if (
+            placement.may_have_run
+            and isinstance(result, ErrorKind)
+            and ANSWERS[result].outcome is Outcome.NOT_RUN
+        ):
+            result = ErrorKind.AGENT_SILENT
+        return self.ended(placement, result, now)
+
+    def _count(self, kind: ErrorKind, action: str) -> list[Envelope]:
+        count = Count(name=counter_name(kind, action=action))
+        return [Envelope(self.node_id, LOCAL_METRICS, count)]
--- /dev/null
+++ b/src/bramleydyke/core/request_edge.py
@@ -0,0 +1,116 @@
+"""The balancer's side of requests: callers and their placements."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import FIRST_ATTEMPT_VALID_S, MAX_REQUEST_TIMEOUT_S
+from bramleydyke.core.config import ConfigStore, ServiceConfig
+from bramleydyke.core.limits import PartnerLimits
+from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import (
+    Answer,
+    AnswerCaller,
+    Count,
+    Envelope,
+    RefuseCaller,
+    RequestAbandoned,
+    RequestArrived,
+)
+from bramleydyke.types import (
+    LOCAL_CALLER,
+    LOCAL_METRICS,
+    Incarnation,
+    NodeId,
+    PartnerId,
+    RequestId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    caller: int
+    partner_id: PartnerId
+
+
+@dataclass(slots=True, kw_only=True)
+class RequestEdge:
+    """Callers that wait at one balancer.
+
+    Attributes:
+        placer: Places the requests; calls ``ended`` at the end of each.
+        limits: Requests in flight of each partner.
+        waiting: Caller of each placement.
+        numbers: Placement of each caller.
+    """
+
+    node_id: NodeId
+    incarnation: Incarnation
+    config: ConfigStore
+    placer: Placer
+    limits: PartnerLimits
+    waiting: dict[int, _Waiting] = field(default_factory=dict)
+    numbers: dict[int, int] = field(default_factory=dict)
+    _next_number: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    def arrived(self, message: RequestArrived, *, now: float) -> list[Envelope]:
+        """Starts to place a caller's request, or refuses it."""
+        service_id = self.config.by_address.get(message.address)
+        service = None if service_id is None else self.config.service(service_id)
+        if service is None:
+            return self._refuse(message.caller, ErrorKind.NO_SERVICE)
+        if not self.limits.start_request(service.partner_id):
+            return self._refuse(message.caller, ErrorKind.PARTNER_LIMIT)
+        placement = self._placement(message, service, now=now)
+        self.waiting[placement.number] = _Waiting(message.caller, service.partner_id)
+        self.numbers[message.caller] = placement.number
+        return self.placer.place(placement, now=now)
+
+    def abandoned(self, message: RequestAbandoned, *, now: float) -> list[Envelope]:
+        """Cancels the request of a caller that went away."""
+        number = self.numbers.get(message.caller)
+        return [] if number is None else self.placer.cancel(number, now=now)
+
+    def ended(
+        self, placement: Placement, result: Answer | ErrorKind, now: float
+    ) -> list[Envelope]:
+        """Tells a caller how its request ended."""
+        waiting = self.waiting.pop(placement.number)
+        self.numbers.pop(waiting.caller, None)
+        self.limits.end_request(waiting.partner_id)
+        if isinstance(result, ErrorKind):
+            return self._refuse(waiting.caller, result)
+        answer = AnswerCaller(caller=waiting.caller, payload=result.payload)
+        return [Envelope(self.node_id, LOCAL_CALLER, answer)]
+
+    def _placement(
+        self, message: RequestArrived, service: ServiceConfig, *, now: float
+    ) -> Placement:
+        number = next(self._next_number)
+        keyed = message.request_id is not None and not message.idempotent
+        made_id = f"{self.node_id}/{self.incarnation}/{number}"
+        request_id = f"key/{message.request_id}" if keyed else made_id
+        valid = FIRST_ATTEMPT_VALID_S if message.first_attempt else 0.0
+        return Placement(
+            number=number,
+            request_id=RequestId(request_id),
+            partner_id=service.partner_id,
+            service_id=service.service_id,
+            generation=self.config.generation(service.partner_id),
+            idempotent=message.idempotent,
+            keyed=keyed,
+            first_attempt_until=now + valid,
+            deadline=now + min(message.timeout, MAX_REQUEST_TIMEOUT_S),
+            payload=message.payload,
+        )
+
+    def _refuse(self, caller: int, kind: ErrorKind) -> list[Envelope]:
+        refusal = RefuseCaller(caller=caller, kind=kind)
+        count = Count(name=counter_name(kind, action="answered"))
+        return [
+            Envelope(self.node_id, LOCAL_CALLER, refusal),
+            Envelope(self.node_id, LOCAL_METRICS, count),
+        ]
--- /dev/null
+++ b/src/bramleydyke/core/retry.py
@@ -0,0 +1,76 @@
+"""Limits on retries: a budget by share of load, and jittered delays."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from bramleydyke.constants import (
+    BACKOFF_BASE_S,
+    BACKOFF_CAP_S,
+    RETRY_FLOOR_PER_S,
+    RETRY_RATIO,
+    RETRY_WINDOW_S,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class RetryBudget:
+    """Token bucket that requests fill and retries drain.
+
+    Under overload each retry adds load; a limit by share keeps retries from
+    multiplying it, which a limit per request does not.
+
+    Attributes:
+        tokens: Retries that are allowed now.
+        updated_at: Time of the last refill, in seconds.
+    """
+
+    ratio: float = RETRY_RATIO
+    floor_per_s: float = RETRY_FLOOR_PER_S
+    window_s: float = RETRY_WINDOW_S
+    tokens: float = RETRY_FLOOR_PER_S
+    updated_at: float = 0.0
+    rate: float = 0.0
+    """Decayed count of requests within the window."""
+
+    def request(self, *, now: float) -> None:
+        """Counts a first try."""
+        self._refill(now)
+        self.rate += 1
+        self.tokens = min(self.tokens + self.ratio, self._limit())
+
+    def allow(self, *, now: float) -> bool:
+        """Takes a token for one retry; returns False if there is none."""
+        self._refill(now)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self.updated_at)
+        self.updated_at = now
+        self.rate *= max(0.0, 1 - elapsed / self.window_s)
+        self.tokens = min(self.tokens + elapsed * self.floor_per_s, self._limit())
+
+    def _limit(self) -> float:
+        return self.floor_per_s + self.rate * self.ratio
+
+
+def backoff(
+    attempt: int,
+    *,
+    random_source: random.Random,
+    base: float = BACKOFF_BASE_S,
+    cap: float = BACKOFF_CAP_S,
+) -> float:
+    """Returns the delay before a retry, in seconds, with full jitter.
+
+    Args:
+        attempt: 0 for the first retry.
+        random_source: Seeded source of the caller.
+        base: Largest first delay.
+        cap: Largest delay.
+    """
+    return random_source.uniform(0.0, min(cap, base * 2**attempt))
