--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -62,8 +62,8 @@
 LOAD_DECAY_S = 0.2
 """Time constant after which a reported backlog has lost most of its weight."""
 
-OWNER_HISTORY_S = 600.0
-"""How long the earlier owner sets of a service are kept for lookups."""
+EARLIER_SETS = 8
+"""Earlier owner sets of a service that are kept for lookups of its flows."""
 
 HOME_DELAY_S = 10.0
 """Age at which a newly declared upstream may be the home of keyed requests.
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -166,7 +166,7 @@
         """
         service = self.config.service(self.service_id)
         current = set() if service is None else set(service.weights())
-        earlier = self.config.earlier_owners(self.service_id, now=now)
+        earlier = self.config.earlier_owners(self.service_id)
         return {
             upstream
             for upstream in current.union(*earlier)
--- a/src/bramleydyke/core/config.py
+++ b/src/bramleydyke/core/config.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
-from bramleydyke.constants import HOME_DELAY_S, OWNER_HISTORY_S
+from bramleydyke.constants import EARLIER_SETS, HOME_DELAY_S
 from bramleydyke.types import (
     AvailabilityZone,
     Generation,
@@ -31,6 +32,10 @@
     """Requests that the upstream serves at the same time."""
 
 
+WeightSet = tuple[tuple[UpstreamId, float], ...]
+"""Upstreams and weights that were in force together."""
+
+
 class ServiceConfig(msgspec.Struct, frozen=True, array_like=True):
     """One service at the generation at which it last changed."""
 
@@ -45,6 +50,13 @@
     deleted: bool = False
     """True for a tombstone: the sheet no longer has the service."""
 
+    earlier: tuple[WeightSet, ...] = ()
+    """Owner sets before this one, newest first.
+
+    They travel with the service, so that a process that has just joined can
+    look for flows that were established under them.
+    """
+
     def weights(self) -> dict[UpstreamId, float]:
         """Returns the weight of each declared upstream."""
         return {spec.upstream_id: spec.weight for spec in self.upstreams}
@@ -90,11 +102,11 @@
 
 
 @dataclass(slots=True)
-class OwnerSet:
-    """Weights of a service that were in force until a time."""
+class ReplacedSet:
+    """Weights of a service, and when this process saw them replaced."""
 
     weights: dict[UpstreamId, float]
-    until: float
+    replaced_at: float
 
 
 @dataclass(slots=True)
@@ -104,13 +116,13 @@
     Attributes:
         generations: Newest applied generation of each partner.
         services: Entry of each service, tombstones included.
-        history: Earlier owner sets of a service, newest first.
+        replaced: Owner sets replaced less than ``HOME_DELAY_S`` ago.
         by_address: Service of each address in force.
     """
 
     generations: dict[PartnerId, Generation] = field(default_factory=dict)
     services: dict[ServiceId, ServiceConfig] = field(default_factory=dict)
-    history: dict[ServiceId, list[OwnerSet]] = field(default_factory=dict)
+    replaced: dict[ServiceId, list[ReplacedSet]] = field(default_factory=dict)
     by_address: dict[ServiceAddress, ServiceId] = field(default_factory=dict)
 
     def generation(self, partner_id: PartnerId) -> Generation:
@@ -137,9 +149,7 @@
             return False
         for entry in delta.services:
             if self._allowed(entry, delta.partner_id):
-                known = self.services.get(entry.service_id)
-                if known is not None:
-                    self._remember(known, entry, now=now)
+                self._note_replaced(entry, now=now)
                 self.services[entry.service_id] = entry
         self._assign_addresses()
         self.generations[delta.partner_id] = delta.generation
@@ -158,16 +168,10 @@
             ),
         )
 
-    def earlier_owners(
-        self, service_id: ServiceId, *, now: float
-    ) -> list[dict[UpstreamId, float]]:
-        """Returns the owner sets still in history, newest first."""
-        kept = [item for item in self.history.get(service_id, ()) if item.until > now]
-        if kept:
-            self.history[service_id] = kept
-        else:
-            self.history.pop(service_id, None)
-        return [item.weights for item in kept]
+    def earlier_owners(self, service_id: ServiceId) -> list[dict[UpstreamId, float]]:
+        """Returns the weights of the earlier owner sets, newest first."""
+        entry = self.service(service_id)
+        return [] if entry is None else [dict(weights) for weights in entry.earlier]
 
     def settled_weights(
         self, service_id: ServiceId, *, now: float
@@ -180,16 +184,17 @@
         entry = self.service(service_id)
         if entry is None:
             return {}
-        horizon = now - HOME_DELAY_S + OWNER_HISTORY_S
         recent = [
-            item.weights
-            for item in self.history.get(service_id, ())
-            if item.until > horizon
+            item
+            for item in self.replaced.pop(service_id, ())
+            if item.replaced_at > now - HOME_DELAY_S
         ]
+        if recent:
+            self.replaced[service_id] = recent
         settled = {
             upstream: weight
             for upstream, weight in entry.weights().items()
-            if all(upstream in weights for weights in recent)
+            if all(upstream in item.weights for item in recent)
         }
         return settled or entry.weights()
 
@@ -214,13 +219,22 @@
         held = dict(pair for pair in wanted if self.by_address.get(pair[0]) == pair[1])
         self.by_address = dict(wanted) | held
 
-    def _remember(
-        self, known: ServiceConfig, entry: ServiceConfig, *, now: float
-    ) -> None:
-        if known.weights() == entry.weights():
+    def _note_replaced(self, entry: ServiceConfig, *, now: float) -> None:
+        """Remembers the owner set that an entry replaces.
+
+        A process that has just joined cannot tell when the newest earlier set
+        was replaced, and takes it for recent.
+        """
+        known = self.services.get(entry.service_id)
+        if known is not None:
+            weights = known.weights()
+        elif entry.earlier:
+            weights = dict(entry.earlier[0])
+        else:
             return
-        earlier = OwnerSet(weights=known.weights(), until=now + OWNER_HISTORY_S)
-        self.history.setdefault(entry.service_id, []).insert(0, earlier)
+        if weights != entry.weights():
+            replaced = ReplacedSet(weights=weights, replaced_at=now)
+            self.replaced.setdefault(entry.service_id, []).append(replaced)
 
 
 def next_config(
@@ -258,11 +272,24 @@
 def _stamped(
     entry: ServiceConfig, known: ServiceConfig | None, generation: Generation
 ) -> ServiceConfig:
-    if known is not None and known == msgspec.structs.replace(
-        entry, changed_at=known.changed_at
-    ):
+    if known is None:
+        return msgspec.structs.replace(entry, changed_at=generation, earlier=())
+    same = msgspec.structs.replace(
+        entry, changed_at=known.changed_at, earlier=known.earlier
+    )
+    if same == known:
         return known
-    return msgspec.structs.replace(entry, changed_at=generation)
+    return msgspec.structs.replace(
+        entry, changed_at=generation, earlier=_earlier_sets(entry, known)
+    )
+
+
+def _earlier_sets(entry: ServiceConfig, known: ServiceConfig) -> tuple[WeightSet, ...]:
+    """Returns the distinct owner sets before an entry, newest first."""
+    current = tuple(entry.weights().items())
+    before = (tuple(known.weights().items()), *known.earlier)
+    distinct = dict.fromkeys(weights for weights in before if weights != current)
+    return tuple(itertools.islice(filter(None, distinct), EARLIER_SETS))
 
 
 def _tombstone(entry: ServiceConfig, generation: Generation) -> ServiceConfig:
