Sheets: validation, comparison and application by conditional update

Cause: operators of both partners race, replies get lost after the effect, and an address must never belong to two partners. Change: sheets as JSON or table with every fault named at once; a claim for each address; application as a generator of platform calls with read-back.

--- /dev/null
+++ b/src/bramleydyke/core/sheet.py
@@ -0,0 +1,318 @@
+"""Sheets: reading, validation with every fault named, and comparison."""
+
+from __future__ import annotations
+
+import csv
+import io
+import ipaddress
+import itertools
+import math
+import re
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from bramleydyke.core.config import PartnerConfig, ServiceConfig, UpstreamSpec
+from bramleydyke.types import (
+    AvailabilityZone,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+)
+
+MAX_SHEET_BYTES = 1_000_000
+"""Largest object that the platform holds."""
+
+MAX_WEIGHT = 1_000.0
+MAX_SLOTS = 10_000
+
+CSV_COLUMNS = (
+    "service",
+    "protocol",
+    "addresses",
+    "upstream",
+    "place",
+    "weight",
+    "slots",
+)
+"""Columns of a sheet as a table, one row for each upstream."""
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+
+
+@dataclass(frozen=True, slots=True)
+class SheetFault:
+    """One fault of a sheet."""
+
+    row: str
+    """Row number of a table, or path within a JSON sheet."""
+
+    column: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.row}: {self.column}: {self.value!r}, expected {self.expected}"
+
+
+class UpstreamRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """An upstream of a JSON sheet."""
+
+    id: str
+    place: str
+    weight: float = 1.0
+    slots: int = 1
+
+
+class ServiceRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A service of a JSON sheet."""
+
+    name: str
+    protocol: str
+    addresses: list[str]
+    upstreams: list[UpstreamRow]
+
+
+class Sheet(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A partner's sheet as planners export it."""
+
+    partner: str
+    services: list[ServiceRow]
+
+
+@dataclass(slots=True, kw_only=True)
+class SheetDifference:
+    """What a new sheet changes; each entry is one line of text."""
+
+    added: list[str] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+    changed: list[str] = field(default_factory=list)
+
+    def lines(self) -> list[str]:
+        """Returns all changes, one a line."""
+        return [
+            *(f"+ {line}" for line in self.added),
+            *(f"- {line}" for line in self.removed),
+            *(f"~ {line}" for line in self.changed),
+        ]
+
+
+Services = list[ServiceConfig]
+Faults = list[SheetFault]
+
+
+def parse_json(text: bytes, *, partner_id: PartnerId) -> Result[Services, Faults]:
+    """Reads a JSON sheet.
+
+    Args:
+        text: The file's content.
+        partner_id: The partner whose credential applies the sheet.
+    """
+    if len(text) > MAX_SHEET_BYTES:
+        return Failure([_too_large(len(text))])
+    try:
+        sheet = msgspec.json.decode(text, type=Sheet)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure([SheetFault("sheet", "json", str(error), "a valid sheet")])
+    faults = list(_sheet_faults(sheet, partner_id))
+    if faults:
+        return Failure(faults)
+    return Success([_service(row, partner_id) for row in sheet.services])
+
+
+def parse_csv(text: bytes, *, partner_id: PartnerId) -> Result[Services, Faults]:
+    """Reads a sheet exported as a table with the columns ``CSV_COLUMNS``."""
+    if len(text) > MAX_SHEET_BYTES:
+        return Failure([_too_large(len(text))])
+    try:
+        reader = csv.DictReader(io.StringIO(text.decode()), strict=True)
+        rows = list(reader)
+    except (csv.Error, UnicodeDecodeError) as error:
+        return Failure([SheetFault("table", "csv", str(error), "a valid table")])
+    if tuple(reader.fieldnames or ()) != CSV_COLUMNS:
+        found = ",".join(reader.fieldnames or ())
+        return Failure([SheetFault("row 1", "header", found, ",".join(CSV_COLUMNS))])
+    faults = list(_table_faults(rows))
+    if faults:
+        return Failure(faults)
+    sheet = Sheet(partner=partner_id, services=_group_rows(rows))
+    faults = list(_sheet_faults(sheet, partner_id))
+    if faults:
+        return Failure(faults)
+    return Success([_service(row, partner_id) for row in sheet.services])
+
+
+def difference(
+    current: PartnerConfig, wanted: Iterable[ServiceConfig]
+) -> SheetDifference:
+    """Returns what a new sheet changes against the one in force."""
+    before = {item.service_id: item for item in current.services if not item.deleted}
+    after = {item.service_id: item for item in wanted}
+    both = [name for name in before if name in after]
+    return SheetDifference(
+        added=[_summary(after[name]) for name in after if name not in before],
+        removed=[str(name) for name in before if name not in after],
+        changed=[line for name in both for line in _changes(before[name], after[name])],
+    )
+
+
+def _too_large(size: int) -> SheetFault:
+    return SheetFault("sheet", "size", str(size), f"at most {MAX_SHEET_BYTES} bytes")
+
+
+def _summary(entry: ServiceConfig) -> str:
+    addresses = ", ".join(entry.addresses)
+    count = len(entry.upstreams)
+    return f"{entry.service_id} {entry.protocol.value} {addresses} upstreams={count}"
+
+
+def _changes(before: ServiceConfig, after: ServiceConfig) -> Iterator[str]:
+    name = after.service_id
+    if before.protocol != after.protocol:
+        yield f"{name} protocol {before.protocol.value} -> {after.protocol.value}"
+    if before.addresses != after.addresses:
+        old, new = ", ".join(before.addresses), ", ".join(after.addresses)
+        yield f"{name} addresses {old} -> {new}"
+    old_specs = {spec.upstream_id: spec for spec in before.upstreams}
+    new_specs = {spec.upstream_id: spec for spec in after.upstreams}
+    for upstream in dict.fromkeys((*old_specs, *new_specs)):
+        old, new = old_specs.get(upstream), new_specs.get(upstream)
+        if old != new:
+            yield f"{name} {upstream} {_spec(old)} -> {_spec(new)}"
+
+
+def _spec(spec: UpstreamSpec | None) -> str:
+    if spec is None:
+        return "absent"
+    return f"weight={spec.weight:g} slots={spec.slots} place={spec.zone}"
+
+
+def _service(row: ServiceRow, partner_id: PartnerId) -> ServiceConfig:
+    return ServiceConfig(
+        service_id=ServiceId(f"{partner_id}/{row.name}"),
+        partner_id=partner_id,
+        protocol=Protocol(row.protocol),
+        addresses=tuple(ServiceAddress(address) for address in row.addresses),
+        upstreams=tuple(
+            UpstreamSpec(
+                upstream_id=UpstreamId(item.id),
+                zone=AvailabilityZone(item.place),
+                weight=item.weight,
+                slots=item.slots,
+            )
+            for item in row.upstreams
+        ),
+    )
+
+
+def _sheet_faults(sheet: Sheet, partner_id: PartnerId) -> Iterator[SheetFault]:
+    if sheet.partner != partner_id:
+        yield SheetFault("sheet", "partner", sheet.partner, repr(partner_id))
+    yield from _repeated(
+        ((f"services[{i}]", row.name) for i, row in enumerate(sheet.services)),
+        column="name",
+    )
+    addresses = (
+        (f"services[{i}]", address)
+        for i, row in enumerate(sheet.services)
+        for address in row.addresses
+    )
+    yield from _repeated(addresses, column="addresses")
+    for index, row in enumerate(sheet.services):
+        yield from _service_faults(f"services[{index}]", row)
+
+
+def _service_faults(where: str, row: ServiceRow) -> Iterator[SheetFault]:
+    if not _NAME.fullmatch(row.name):
+        yield SheetFault(where, "name", row.name, "lower-case letters, digits, . _ -")
+    kinds = [protocol.value for protocol in Protocol]
+    if row.protocol not in kinds:
+        yield SheetFault(where, "protocol", row.protocol, " or ".join(kinds))
+    if not row.addresses:
+        yield SheetFault(where, "addresses", "", "at least one ip:port")
+    for address in itertools.filterfalse(is_address, row.addresses):
+        yield SheetFault(where, "addresses", address, "ip:port")
+    if not any(item.weight > 0 for item in row.upstreams):
+        yield SheetFault(where, "upstreams", "", "one with a weight above 0")
+    names = (
+        (f"{where}.upstreams[{i}]", item.id) for i, item in enumerate(row.upstreams)
+    )
+    yield from _repeated(names, column="id")
+    for index, item in enumerate(row.upstreams):
+        yield from _upstream_faults(f"{where}.upstreams[{index}]", item)
+
+
+def _upstream_faults(where: str, row: UpstreamRow) -> Iterator[SheetFault]:
+    if not _NAME.fullmatch(row.id):
+        yield SheetFault(where, "id", row.id, "lower-case letters, digits, . _ -")
+    if not _NAME.fullmatch(row.place):
+        yield SheetFault(where, "place", row.place, "name of an availability zone")
+    if not (math.isfinite(row.weight) and 0 <= row.weight <= MAX_WEIGHT):
+        yield SheetFault(where, "weight", str(row.weight), f"0 to {MAX_WEIGHT:g}")
+    if not 1 <= row.slots <= MAX_SLOTS:
+        yield SheetFault(where, "slots", str(row.slots), f"1 to {MAX_SLOTS}")
+
+
+def _repeated(items: Iterable[tuple[str, str]], *, column: str) -> Iterator[SheetFault]:
+    seen: dict[str, str] = {}
+    for where, value in items:
+        if value in seen:
+            yield SheetFault(where, column, value, f"not that of {seen[value]}")
+        seen.setdefault(value, where)
+
+
+def is_address(text: str) -> bool:
+    """Tells whether a text is ``ip:port``, IPv6 in brackets."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        return False
+
+
+def _table_faults(rows: list[dict[str, str]]) -> Iterator[SheetFault]:
+    """Yields cells that cannot be read; row 1 is the header."""
+    first: dict[str, tuple[int, dict[str, str]]] = {}
+    for number, row in enumerate(rows, start=2):
+        where = f"row {number}"
+        if None in row or None in row.values():
+            yield SheetFault(where, "row", "", f"{len(CSV_COLUMNS)} cells")
+            continue
+        for column, read in (("weight", float), ("slots", int)):
+            try:
+                read(row[column])
+            except ValueError:
+                yield SheetFault(where, column, row[column], "a number")
+        first_number, start = first.setdefault(row["service"], (number, row))
+        for column in ("protocol", "addresses"):
+            if row[column] != start[column]:
+                expected = f"{start[column]!r} as in row {first_number}"
+                yield SheetFault(where, column, row[column], expected)
+
+
+def _group_rows(rows: list[dict[str, str]]) -> list[ServiceRow]:
+    grouped: dict[str, list[dict[str, str]]] = {}
+    for row in rows:
+        grouped.setdefault(row["service"], []).append(row)
+    return [
+        ServiceRow(
+            name=name,
+            protocol=group[0]["protocol"],
+            addresses=group[0]["addresses"].split(";"),
+            upstreams=[
+                UpstreamRow(
+                    id=row["upstream"],
+                    place=row["place"],
+                    weight=float(row["weight"]),
+                    slots=int(row["slots"]),
+                )
+                for row in group
+            ],
+        )
+        for name, group in grouped.items()
+    ]
--- /dev/null
+++ b/src/bramleydyke/core/sheet_apply.py
@@ -0,0 +1,298 @@
+"""Puts a sheet into the platform's object API.
+
+Each procedure is a generator that yields platform calls and is sent their
+replies, so that the same decisions run under any client and in tests.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Generator, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.core.config import PartnerConfig, ServiceConfig, next_config
+from bramleydyke.core.sheet import SheetDifference, difference
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import PlatformRead, PlatformReply, PlatformWrite
+from bramleydyke.types import (
+    Generation,
+    PartnerId,
+    PlatformStatus,
+    ServiceAddress,
+)
+
+READ_BACK_TRIES = 5
+"""Times that a write without reply is looked for before it is unknown."""
+
+PlatformCall = PlatformRead | PlatformWrite
+Steps = Generator[PlatformCall, PlatformReply, "ApplyOutcome"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """An address that this run has claimed, and the version of the claim."""
+
+    address: ServiceAddress
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApplyOutcome:
+    """How an attempt to apply a sheet ended.
+
+    Attributes:
+        kind: None if the sheet was accepted, else why not.
+        generation: The accepted generation, or the one in force.
+        difference: What was applied; after a lost race, what the winner
+            changed against the sheet that this attempt started from.
+        detail: Object that the outcome is about.
+    """
+
+    kind: ErrorKind | None
+    generation: Generation = Generation(0)
+    difference: SheetDifference = field(default_factory=SheetDifference)
+    detail: str = ""
+
+
+def sheet_path(partner_id: PartnerId) -> str:
+    """Returns the path of a partner's sheet object."""
+    return f"sheets/{partner_id}"
+
+
+def claim_path(address: ServiceAddress) -> str:
+    """Returns the path of the claim on a service address."""
+    return f"claims/{address}"
+
+
+@dataclass(slots=True, kw_only=True)
+class _Run:
+    """State of one attempt.
+
+    Attributes:
+        current: The sheet that the attempt starts from.
+        version: Its object version.
+        claims: Addresses that this attempt was the first to claim.
+        given_up: Claims on addresses that the new sheet no longer has.
+    """
+
+    partner_id: PartnerId
+    change_id: str
+    current: PartnerConfig
+    version: int = 0
+    claims: list[Claim] = field(default_factory=list)
+    given_up: list[Claim] = field(default_factory=list)
+
+
+_calls = itertools.count(1)
+
+
+def apply_sheet(
+    partner_id: PartnerId,
+    wanted: Iterable[ServiceConfig],
+    *,
+    change_id: str,
+    confirm: Callable[[SheetDifference], bool],
+) -> Steps:
+    """Applies a sheet; safe to run again with the same ``change_id``.
+
+    Yields:
+        Platform calls; send the reply of each.
+
+    Returns:
+        How the attempt ended.
+    """
+    wanted = list(wanted)
+    reply = yield _read(sheet_path(partner_id))
+    current = _decode(reply, partner_id)
+    if current is None:
+        return ApplyOutcome(kind=_failure(reply), detail=sheet_path(partner_id))
+    run = _Run(
+        partner_id=partner_id,
+        change_id=change_id,
+        current=current,
+        version=reply.version,
+    )
+    if current.change_id == change_id:
+        return ApplyOutcome(kind=None, generation=current.generation)
+    changes = difference(current, wanted)
+    if not changes.lines():
+        return ApplyOutcome(kind=None, generation=current.generation)
+    if not confirm(changes):
+        return ApplyOutcome(kind=ErrorKind.CANCELLED, generation=current.generation)
+    refused = yield from _claim_added(run, wanted)
+    if refused is not None:
+        yield from _release(run.claims)
+        return refused
+    yield from _note_given_up(run, wanted)
+    return (yield from _write_sheet(run, wanted, changes))
+
+
+def _write_sheet(
+    run: _Run, wanted: list[ServiceConfig], changes: SheetDifference
+) -> Steps:
+    """Writes the sheet object and finds out whether the write took effect.
+
+    The write depends on the version that the attempt started from, so it can
+    be repeated after a lost reply without applying twice.
+    """
+    path = sheet_path(run.partner_id)
+    config = next_config(run.current, wanted, change_id=run.change_id)
+    value = msgspec.json.encode(config)
+    lost = False
+    for _ in range(READ_BACK_TRIES):
+        reply = yield _write(path, value, run.version)
+        if reply.status is PlatformStatus.OK:
+            return (yield from _accepted(run, config, changes))
+        if reply.status is PlatformStatus.CONFLICT:
+            return (yield from _after_conflict(run, config, changes, lost=lost))
+        if reply.status is PlatformStatus.FORBIDDEN:
+            break
+        lost = lost or reply.status is PlatformStatus.LOST
+    if lost:
+        kind = ErrorKind.STORE_ANSWER_LOST
+        return ApplyOutcome(kind=kind, difference=changes, detail=path)
+    yield from _release(run.claims)
+    return ApplyOutcome(kind=_failure(reply), detail=path)
+
+
+def _after_conflict(
+    run: _Run, config: PartnerConfig, changes: SheetDifference, *, lost: bool
+) -> Steps:
+    """Tells a lost race from an own write whose reply was lost.
+
+    If a reply was lost and the sheet has moved on by more than one generation,
+    this attempt's write may be among those that came between.
+    """
+    path = sheet_path(run.partner_id)
+    for _ in range(READ_BACK_TRIES):
+        reply = yield _read(path)
+        winner = _decode(reply, run.partner_id)
+        if winner is None:
+            continue
+        if winner.change_id == run.change_id:
+            return (yield from _accepted(run, config, changes))
+        if lost and winner.generation > config.generation:
+            break
+        yield from _release(run.claims)
+        in_force = [item for item in winner.services if not item.deleted]
+        return ApplyOutcome(
+            kind=ErrorKind.CONFLICT,
+            generation=winner.generation,
+            difference=difference(run.current, in_force),
+            detail=path,
+        )
+    return ApplyOutcome(
+        kind=ErrorKind.STORE_ANSWER_LOST, difference=changes, detail=path
+    )
+
+
+def _accepted(run: _Run, config: PartnerConfig, changes: SheetDifference) -> Steps:
+    """Releases the addresses that the new sheet no longer has."""
+    yield from _release(run.given_up)
+    return ApplyOutcome(kind=None, generation=config.generation, difference=changes)
+
+
+def _note_given_up(
+    run: _Run, wanted: list[ServiceConfig]
+) -> Generator[PlatformCall, PlatformReply, None]:
+    """Reads the claims that end with the new sheet, before it is written.
+
+    An operator who takes such an address again afterwards writes a newer
+    version of its claim, which the release then leaves alone.
+    """
+    kept = _addresses(wanted)
+    gone = [item for item in _addresses(run.current.services) if item not in kept]
+    for address in gone:
+        reply = yield _read(claim_path(address))
+        if reply.status is PlatformStatus.OK and reply.value == _holder(run):
+            run.given_up.append(Claim(address=address, version=reply.version))
+
+
+def _claim_added(
+    run: _Run, wanted: list[ServiceConfig]
+) -> Generator[PlatformCall, PlatformReply, ApplyOutcome | None]:
+    """Claims the addresses that the sheet in force does not have yet."""
+    known = _addresses(run.current.services)
+    added = [item for item in _addresses(wanted) if item not in known]
+    for address in added:
+        kind = yield from _claim(run, address)
+        if kind is not None:
+            return ApplyOutcome(
+                kind=kind, generation=run.current.generation, detail=address
+            )
+    return None
+
+
+def _claim(
+    run: _Run, address: ServiceAddress
+) -> Generator[PlatformCall, PlatformReply, ErrorKind | None]:
+    """Writes the claim on an address.
+
+    An own claim is written again: its new version keeps another operator of
+    the same partner, who made it and lost the race, from releasing it. Only
+    who made a claim releases it, since the other may rely on it by then.
+    """
+    path = claim_path(address)
+    reply = yield _read(path)
+    for _ in range(READ_BACK_TRIES):
+        if reply.status not in (PlatformStatus.OK, PlatformStatus.NOT_FOUND):
+            reply = yield _read(path)
+            continue
+        if reply.value not in (None, b"", _holder(run)):
+            return ErrorKind.WRONG_PARTNER
+        written = yield _write(path, _holder(run), reply.version)
+        if written.status is PlatformStatus.OK and reply.value != _holder(run):
+            run.claims.append(Claim(address=address, version=written.version))
+        if written.status is PlatformStatus.OK:
+            return None
+        if written.status is PlatformStatus.FORBIDDEN:
+            return ErrorKind.WRONG_PARTNER
+        reply = yield _read(path)
+    return _failure(reply)
+
+
+def _release(
+    claims: Iterable[Claim],
+) -> Generator[PlatformCall, PlatformReply, None]:
+    """Gives claims up, unless somebody has written them since."""
+    for claim in claims:
+        yield _write(claim_path(claim.address), b"", claim.version)
+
+
+def _holder(run: _Run) -> bytes:
+    return run.partner_id.encode()
+
+
+def _addresses(services: Iterable[ServiceConfig]) -> dict[ServiceAddress, None]:
+    return dict.fromkeys(
+        address
+        for service in services
+        if not service.deleted
+        for address in service.addresses
+    )
+
+
+def _decode(reply: PlatformReply, partner_id: PartnerId) -> PartnerConfig | None:
+    if reply.status is PlatformStatus.NOT_FOUND:
+        return PartnerConfig(partner_id=partner_id)
+    if reply.status is not PlatformStatus.OK or reply.value is None:
+        return None
+    return msgspec.json.decode(reply.value, type=PartnerConfig)
+
+
+def _failure(reply: PlatformReply) -> ErrorKind:
+    if reply.status is PlatformStatus.FORBIDDEN:
+        return ErrorKind.WRONG_PARTNER
+    if reply.status is PlatformStatus.CONFLICT:
+        return ErrorKind.CONFLICT
+    return ErrorKind.STORE_UNAVAILABLE
+
+
+def _read(path: str) -> PlatformRead:
+    return PlatformRead(call=next(_calls), path=path)
+
+
+def _write(path: str, value: bytes, expected: int) -> PlatformWrite:
+    return PlatformWrite(call=next(_calls), path=path, value=value, expected=expected)
--- /dev/null
+++ b/tests/unit/test_sheet.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import json
+
+from hypothesis import given, strategies as st
+from returns.result import Success
+
+from bramleydyke.core.sheet import CSV_COLUMNS, parse_csv, parse_json
+from bramleydyke.types import PartnerId
+
+PARTNER = PartnerId("federation")
+
+
+def sheet(**changes: object) -> bytes:
+    service = {
+        "name": "bourse-beurre",
+        "protocol": "http",
+        "addresses": ["127.0.0.1:9001"],
+        "upstreams": [{"id": "bb-1", "place": "meknes", "weight": 1, "slots": 2}],
+    }
+    return json.dumps(
+        {"partner": "federation", "services": [service | changes]}
+    ).encode()
+
+
+def test_table_and_json_give_the_same_services() -> None:
+    """Guards against a planner's table meaning something else than JSON."""
+    table = ",".join(CSV_COLUMNS) + "\nbourse-beurre,http,127.0.0.1:9001,bb-1,meknes,"
+    from_table = parse_csv((table + "1,2\n").encode(), partner_id=PARTNER)
+    assert from_table == parse_json(sheet(), partner_id=PARTNER)
+    assert isinstance(from_table, Success)
+
+
+def test_every_fault_is_named_at_once() -> None:
+    """Guards against an operator having to correct one fault per run."""
+    upstreams = [
+        {"id": "bb-1", "place": "Mek nes", "weight": -1, "slots": 0},
+        {"id": "bb-1", "place": "fes", "weight": 0},
+    ]
+    text = sheet(protocol="sctp", addresses=["9001"], upstreams=upstreams)
+    faults = parse_json(text, partner_id=PARTNER).failure()
+    assert {(fault.row, fault.column) for fault in faults} == {
+        ("services[0]", "protocol"),
+        ("services[0]", "addresses"),
+        ("services[0]", "upstreams"),
+        ("services[0].upstreams[0]", "place"),
+        ("services[0].upstreams[0]", "weight"),
+        ("services[0].upstreams[0]", "slots"),
+        ("services[0].upstreams[1]", "id"),
+    }
+
+
+def test_sheet_of_the_other_partner_is_refused_whole() -> None:
+    """Guards against one partner changing the other's services."""
+    faults = parse_json(sheet(), partner_id=PartnerId("studio")).failure()
+    assert [fault.column for fault in faults] == ["partner"]
+
+
+@given(st.binary(max_size=400))
+def test_random_bytes_are_refused_with_a_fault(text: bytes) -> None:
+    """Guards against a malformed sheet raising instead of being refused."""
+    for parse in (parse_json, parse_csv):
+        assert parse(text, partner_id=PARTNER).failure()
+
+
+@given(st.lists(st.lists(st.text(max_size=8), max_size=9), max_size=4))
+def test_random_cells_are_refused_or_read(rows: list[list[str]]) -> None:
+    """Guards against an unreadable cell raising instead of being named."""
+    lines = [",".join(CSV_COLUMNS), *(",".join(row) for row in rows)]
+    parse_csv("\n".join(lines).encode("utf-8", "replace"), partner_id=PARTNER)
