--- /dev/null
+++ b/src/bramleydyke/bench/slopes.py
@@ -0,0 +1,205 @@
+"""Memory and processor time of each kind of state, as slopes over its size."""
+
+from __future__ import annotations
+
+import gc
+import itertools
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+
+from bramleydyke.bench._fit import Slope, fit
+from bramleydyke.core.config import (
+    ConfigStore,
+    PartnerConfig,
+    ServiceConfig,
+    UpstreamSpec,
+    full_delta,
+    next_config,
+)
+from bramleydyke.core.members import Members
+from bramleydyke.core.records import Record, RecordState, RequestRecords
+from bramleydyke.messages import Announcement
+from bramleydyke.types import (
+    AvailabilityZone,
+    Incarnation,
+    MemberState,
+    PartnerId,
+    Protocol,
+    RequestId,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+SERVICE_COUNTS = (100, 400, 830)
+MEMBER_COUNTS = (500, 2_000, 4_350)
+RECORD_COUNTS = (1_000, 5_000, 20_000)
+UPSTREAM_COUNTS = (3, 4, 5, 5, 6)
+"""Upstreams of successive services: 4.6 on average, as at the target."""
+
+ANSWER_BYTES = 256
+"""Size of a kept answer in the record measurement."""
+
+_PARTNER = PartnerId("federation")
+_ZONES = [AvailabilityZone(f"zone-{index}") for index in range(9)]
+
+
+def services(count: int, *, weight: float = 1.0) -> list[ServiceConfig]:
+    """Returns services shaped as at the target."""
+    upstreams = itertools.cycle(UPSTREAM_COUNTS)
+    return [
+        ServiceConfig(
+            service_id=ServiceId(f"{_PARTNER}/service-{index}"),
+            partner_id=_PARTNER,
+            protocol=Protocol.HTTP,
+            addresses=(ServiceAddress(f"10.0.{index // 250}.{index % 250}:443"),),
+            upstreams=tuple(
+                UpstreamSpec(UpstreamId(f"u{index}-{item}"), _ZONES[item], weight, 2)
+                for item in range(next(upstreams))
+            ),
+        )
+        for index in range(count)
+    ]
+
+
+def config_with_history(count: int) -> PartnerConfig:
+    """Returns a configuration whose services carry earlier owner sets."""
+    config = PartnerConfig(partner_id=_PARTNER)
+    for change in range(5):
+        wanted = services(count, weight=1.0 + change)
+        config = next_config(config, wanted, change_id=str(change))
+    return config
+
+
+def measure(*, seed: int) -> dict[str, object]:
+    """Returns ``{"slopes": {name: Slope}}`` as built-in types."""
+    source = random.Random(seed)
+    slopes = {
+        "config_memory": _memory(SERVICE_COUNTS, _config_store, "service"),
+        "config_object": _sizes(SERVICE_COUNTS, _encoded_config, "service"),
+        "member_memory": _memory(MEMBER_COUNTS, _members, "member"),
+        "record_memory": _memory(RECORD_COUNTS, _records, "record"),
+        "change_cpu": _times(SERVICE_COUNTS, _change, "service", source),
+    }
+    return {
+        "slopes": {name: msgspec.to_builtins(item) for name, item in slopes.items()}
+    }
+
+
+def _memory(
+    counts: tuple[int, ...], build: Callable[[int], object], size: str
+) -> Slope:
+    points = [(float(count), _allocated(build, count)) for count in counts]
+    return fit(points, unit="bytes", size=size)
+
+
+def _allocated(build: Callable[[int], object], count: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = build(count)
+    gc.collect()
+    allocated = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(allocated)
+
+
+def _sizes(counts: tuple[int, ...], encode: Callable[[int], bytes], size: str) -> Slope:
+    points = [(float(count), float(len(encode(count)))) for count in counts]
+    return fit(points, unit="bytes", size=size)
+
+
+def _times(
+    counts: tuple[int, ...],
+    prepare: Callable[[int, random.Random], Callable[[], object]],
+    size: str,
+    source: random.Random,
+    *,
+    repeats: int = 7,
+) -> Slope:
+    """Measures the median processor time of an action, in seconds."""
+    points = []
+    for count in counts:
+        spent = []
+        for _ in range(repeats):
+            action = prepare(count, source)
+            started = time.process_time()
+            action()
+            spent.append(time.process_time() - started)
+        points.append((float(count), sorted(spent)[repeats // 2]))
+    return fit(points, unit="seconds", size=size)
+
+
+def _config_store(count: int) -> ConfigStore:
+    encoded = msgspec.msgpack.encode(full_delta(config_with_history(count)))
+    store = ConfigStore()
+    delta = msgspec.msgpack.decode(encoded, type=type(full_delta(_EMPTY)))
+    store.apply(delta, now=0.0)
+    return store
+
+
+_EMPTY = PartnerConfig(partner_id=_PARTNER)
+
+
+def _encoded_config(count: int) -> bytes:
+    return msgspec.json.encode(config_with_history(count))
+
+
+def announcement(index: int) -> Announcement:
+    """Returns the announcement of one of many agents."""
+    service_id = ServiceId(f"{_PARTNER}/service-{index % 830}")
+    upstream_id = UpstreamId(f"u{index}")
+    return Announcement(
+        node_id=agent_node(service_id, upstream_id),
+        incarnation=Incarnation(1_700_000_000 + index),
+        revision=1,
+        state=MemberState.RUNNING,
+        zone=_ZONES[index % 9],
+        endpoint=f"10.1.{index // 250}.{index % 250}:7000",
+        partner_id=_PARTNER,
+        service_id=service_id,
+        upstream_id=upstream_id,
+        slots=2,
+        credential=f"{index:032x}",
+    )
+
+
+def _members(count: int) -> Members:
+    members = Members()
+    for index in range(count):
+        members.merge(announcement(index), now=float(index))
+    return members
+
+
+def _records(count: int) -> RequestRecords:
+    records = RequestRecords()
+    for index in range(count):
+        record = Record(
+            request_id=RequestId(f"balancer/b{index % 550}/1700000000/{index}"),
+            state=RecordState.RUNNING,
+            deadline=30.0,
+            idempotent=False,
+        )
+        records.add(record)
+        answer = index.to_bytes(4, "big") * (ANSWER_BYTES // 4)
+        records.finish(record, RecordState.DONE, answer=answer, now=float(index))
+    return records
+
+
+def _change(count: int, source: random.Random) -> Callable[[], object]:
+    """Prepares a change of one service among many."""
+    config = config_with_history(count)
+    store = ConfigStore()
+    store.apply(full_delta(config), now=0.0)
+    wanted = services(count, weight=5.0)
+    wanted[source.randrange(count)] = services(count, weight=9.0)[0]
+    base = config.generation
+    following = ConfigStore()
+    following.apply(full_delta(next_config(config, wanted, change_id="x")), now=0.0)
+    delta = following.delta_since(_PARTNER, base)
+    return lambda: store.apply(delta, now=1.0)
