--- a/src/bramleydyke/core/records.py
+++ b/src/bramleydyke/core/records.py
@@ -118,9 +118,15 @@
         kind: ErrorKind,
         now: float,
     ) -> None:
-        """Remembers that offers up to ``ask`` were refused."""
+        """Remembers that offers up to ``ask`` were refused.
+
+        Refusing a late copy of an older offer keeps the newest refused ask;
+        lowering it would let the copies between the two run.
+        """
         key = (request_id, asker)
-        self.refusals[key] = _Refused(ask, kind)
+        known = self.refusals.get(key)
+        if known is None or ask > known.ask:
+            self.refusals[key] = _Refused(ask, kind)
         self._old_refusals.set(key, now + MAX_PACKET_AGE_S)
 
     def refused_kind(
--- /dev/null
+++ b/tests/history/scenario.py
@@ -0,0 +1,183 @@
+"""Seeded histories: callers and faults at random times on one world."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from checker import Got
+from harness import (
+    BOARD,
+    IN_FORCE_S,
+    SERVICES,
+    START_S,
+    Behaviour,
+    Link,
+    World,
+)
+
+from bramleydyke.types import balancer_node
+
+ACTIVE_S = 12.0
+"""Time in which requests and faults begin."""
+
+REPEAT_S = 1.0
+"""Callers repeat a request no sooner than this."""
+
+
+def run_history(seed: int) -> World:
+    """Runs one history until every caller must have its outcome."""
+    rng = random.Random(seed)
+    world = World(
+        rng.random(),
+        balancers=rng.randint(2, 4),
+        upstreams=rng.randint(1, 4),
+        slots=rng.randint(1, 2),
+    )
+    world.spread_s = rng.choice([0.0, 0.5, 2.0, IN_FORCE_S])
+    world.link = _link(rng)
+    for index in range(rng.randint(4, 14)):
+        _plan_request(world, rng, f"k{index}")
+    for _ in range(rng.choice([0, 1, 2, 3, 6])):
+        fault = rng.choice(FAULTS)
+        when = START_S + rng.uniform(0.0, ACTIVE_S)
+        world.at(when, lambda fault=fault: fault(world, rng))
+    world.run(START_S + ACTIVE_S + 30.0)
+    world.link = Link()
+    world.cut.clear()
+    for node_id in [*world.held]:
+        world.resume(node_id)
+    world.run(world.now + 100.0)
+    return world
+
+
+def _link(rng: random.Random) -> Link:
+    if rng.random() < 0.2:
+        return Link()
+    return Link(
+        loss=rng.choice([0.0, 0.02, 0.2]),
+        double=rng.choice([0.0, 0.05, 0.3]),
+        late=rng.choice([0.0, 0.05, 0.3]),
+        late_s=rng.choice([0.1, 1.0, 5.0, 50.0]),
+        base_s=rng.choice([0.001, 0.005, 0.05]),
+    )
+
+
+def _plan_request(world: World, rng: random.Random, key: str) -> None:
+    service = rng.choice([*SERVICES])
+    keyed = rng.random() < 0.75
+    idempotent = not keyed and rng.random() < 0.6
+    timeout = rng.choice([0.3, 1.0, 3.0, 3.0, 8.0])
+    says_first = rng.random() < 0.7
+    when = START_S + rng.uniform(0.0, ACTIVE_S)
+    for index in range(rng.choice([1, 2, 2, 3, 4]) if keyed else 1):
+
+        def call(first: bool = says_first and index == 0) -> None:
+            attempt = world.call(
+                service,
+                key,
+                balancer=rng.choice(world.balancers()),
+                idempotent=idempotent,
+                keyed=keyed,
+                first=first,
+                timeout=timeout,
+            )
+            if rng.random() < 0.1:
+                world.after(rng.uniform(0.0, 1.0), lambda: world.abandon(attempt))
+
+        world.at(when, call)
+        when += REPEAT_S + rng.choice([0.0, 0.01, rng.expovariate(1.0), 30.0])
+
+
+# Faults.
+
+
+def _crash_agent(world: World, rng: random.Random) -> None:
+    agents = world.agents()
+    if agents:
+        world.kill(rng.choice(agents))
+
+
+def _restart_agent(world: World, rng: random.Random) -> None:
+    agents = world.agents()
+    if not agents:
+        return
+    node_id = rng.choice(agents)
+    world.kill(node_id)
+    service, _, upstream = node_id.removeprefix("agent/").rpartition("/")
+    delay = rng.choice([0.0, 0.1, 2.0, 8.0])
+    world.after(delay, lambda: world.start_agent(service, upstream))
+
+
+def _pause(world: World, rng: random.Random) -> None:
+    node_id = rng.choice([*world.nodes])
+    world.pause(node_id)
+    world.after(rng.choice([0.2, 1.5, 4.0, 15.0]), lambda: world.resume(node_id))
+
+
+def _silence(world: World, rng: random.Random) -> None:
+    node_id = rng.choice([*world.nodes])
+    world.cut.add(node_id)
+    world.after(rng.choice([0.3, 2.0, 6.0]), lambda: world.cut.discard(node_id))
+
+
+def _kill_balancer(world: World, rng: random.Random) -> None:
+    names = world.balancers()
+    if len(names) > 1:
+        world.kill(balancer_node(rng.choice(names)))
+
+
+def _join_balancer(world: World, rng: random.Random) -> None:
+    world.join_balancer(f"joined{rng.random()}")
+
+
+def _misbehave(world: World, rng: random.Random) -> None:
+    agents = world.agents()
+    if agents:
+        world.behaviour[rng.choice(agents)] = rng.choice(
+            [
+                Behaviour(shed=0.5),
+                Behaviour(fail=0.5),
+                Behaviour(mute=0.5),
+                Behaviour(time_s=1.0),
+                Behaviour(time_s=5.0),
+            ]
+        )
+
+
+def _drain(world: World, rng: random.Random) -> None:
+    agents = world.agents()
+    if agents:
+        world.drain(rng.choice(agents))
+
+
+def _configure(world: World, rng: random.Random) -> None:
+    """Adds or removes an upstream; nodes learn it at different times."""
+    service = rng.choice([*SERVICES])
+    names = world.upstreams(service)
+    world.spread_s = world.spread_s or IN_FORCE_S
+    if len(names) > 1 and rng.random() < 0.5:
+        names.remove(rng.choice(names))
+        world.configure(service, names)
+        return
+    name = f"new{rng.randrange(1000)}"
+    world.configure(service, [*names, name])
+    world.after(rng.uniform(0.0, 3.0), lambda: world.start_agent(service, name))
+
+
+FAULTS: list[Callable[[World, random.Random], None]] = [
+    _crash_agent,
+    _restart_agent,
+    _restart_agent,
+    _pause,
+    _pause,
+    _silence,
+    _kill_balancer,
+    _join_balancer,
+    _misbehave,
+    _misbehave,
+    _drain,
+    _configure,
+]
+
+__all__ = ["BOARD", "Got", "run_history"]
--- /dev/null
+++ b/tests/history/test_checker.py
@@ -0,0 +1,85 @@
+"""The checker rejects a planted violation of each promise."""
+
+from __future__ import annotations
+
+import pytest
+from checker import (
+    End,
+    Event,
+    Got,
+    History,
+    Invoke,
+    Outcome,
+    Start,
+    answer_payload,
+    request_payload,
+)
+
+ANSWER = answer_payload(request_payload("a", "k"))
+
+
+def invoke(at: float = 0.0, attempt: int = 1, **fields: object) -> Invoke:
+    known = {"service": "a", "key": "k", "balancer": "b1", "timeout": 5.0}
+    return Invoke(at=at, attempt=attempt, **known | fields)
+
+
+def start(at: float = 0.1, service: str = "a") -> Start:
+    return Start(at, service, "a", "k", "u1")
+
+
+GOOD: list[Event] = [
+    invoke(),
+    start(),
+    End(0.2, "a", "k"),
+    Outcome(0.3, 1, Got.ANSWER, ANSWER),
+]
+REFUSED = Outcome(0.3, 1, Got.NOT_RUN)
+
+PLANTED: dict[str, list[Event]] = {
+    "wrong answer: another's": [
+        *GOOD[:3],
+        Outcome(0.3, 1, Got.ANSWER, answer_payload(request_payload("a", "other"))),
+    ],
+    "wrong answer: cut": [*GOOD[:3], Outcome(0.3, 1, Got.ANSWER, ANSWER[:-1])],
+    "ran twice": [*GOOD, start(0.5)],
+    "not run, but ran: before the refusal": [invoke(), start(), REFUSED],
+    "not run, but ran: after the refusal": [invoke(), REFUSED, start(9.0)],
+    "not run, but ran: before the repetition": [
+        *GOOD,
+        invoke(2.0, 2),
+        Outcome(2.1, 2, Got.NOT_RUN),
+    ],
+    "wrong service": [invoke(), start(service="b"), GOOD[3]],
+    "lost caller": [invoke(), start()],
+    "late outcome": [invoke(), start(), Outcome(7.0, 1, Got.UNKNOWN)],
+    "two outcomes": [*GOOD, Outcome(0.4, 1, Got.UNKNOWN)],
+}
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_planted_violation_is_found(planted: str) -> None:
+    """Guards against a checker that passes a broken promise."""
+    found = History(PLANTED[planted], ended_at=20.0).violations()
+    assert [item.split(":")[0] for item in found] == [planted.split(":")[0]]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        GOOD,
+        [invoke(), REFUSED, invoke(1.0, 2), start(1.1), Outcome(1.2, 2, Got.UNKNOWN)],
+        [invoke(idempotent=True), start(), start(0.4), Outcome(1, 1, Got.UNKNOWN)],
+        [invoke(), Outcome(1.0, 1, Got.DISCONNECTED), start(2.0)],
+    ],
+    ids=["answer", "run by repetition", "idempotent", "disconnected"],
+)
+def test_kept_promises_pass(events: list[Event]) -> None:
+    """Guards against a checker that rejects a history that is in order."""
+    assert History(events, ended_at=20.0).violations() == []
+
+
+def test_pause_of_the_balancer_extends_the_wait() -> None:
+    """Guards against a lost caller reported while its balancer pauses."""
+    events = [invoke(), Outcome(12.0, 1, Got.UNKNOWN)]
+    resumed = {"b1": 8.0}
+    assert History(events, ended_at=20.0, resumed_at=resumed).violations() == []
