Say "not run" for a repetition only when no attempt can have run

Change: a keyed request that is not a first attempt ends as RECORD_UNKNOWN unless a home refuses it that has asked all other agents; such a refusal carries never_ran.

--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -62,6 +62,8 @@
         upstream_id: The upstream that has the request now, if any.
         accepted: True once the agent has said that it has the request.
         may_have_run: True once an agent was left that did not refuse it.
+        earlier_may_have_run: True until a home has ruled out that an earlier
+            attempt of the caller ran.
         excluded: Upstreams that said they are leaving.
     """
 
@@ -89,6 +91,7 @@
     accepted: bool = False
     cancelling: bool = False
     may_have_run: bool = False
+    earlier_may_have_run: bool = False
     moves: int = 0
     excluded: set[UpstreamId] = field(default_factory=set)
     last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
@@ -188,6 +191,8 @@
             return []
         self._note_load(placement, message.backlog, now=now)
         self.members.observe(sender, message.incarnation)
+        if message.never_ran:
+            placement.earlier_may_have_run = False
         counted = self._count(message.kind, "refused")
         return counted + self._after_refusal(placement, message, now=now)
 
@@ -408,20 +413,24 @@
     ) -> list[Envelope]:
         """Ends a placement.
 
-        An earlier agent that may have run the request makes every later
-        refusal an unknown outcome.
+        An earlier agent or attempt that may have run the request makes every
+        later refusal an unknown outcome.
         """
         self._leave(placement)
         self.timers.cancel(placement.number)
         del self.pending[placement.number]
-        if (
-            placement.may_have_run
-            and isinstance(result, ErrorKind)
-            and ANSWERS[result].outcome is Outcome.NOT_RUN
-        ):
-            result = ErrorKind.AGENT_SILENT
+        if isinstance(result, ErrorKind):
+            result = self._certain(placement, result)
         return self.ended(placement, result, now)
 
+    def _certain(self, placement: Placement, kind: ErrorKind) -> ErrorKind:
+        """Returns a kind that does not say "not run" without certainty."""
+        if ANSWERS[kind].outcome is Outcome.UNKNOWN:
+            return kind
+        if placement.may_have_run:
+            return ErrorKind.AGENT_SILENT
+        return ErrorKind.RECORD_UNKNOWN if placement.earlier_may_have_run else kind
+
     def _count(self, kind: ErrorKind, action: str) -> list[Envelope]:
         count = Count(name=counter_name(kind, action=action))
         return [Envelope(self.node_id, LOCAL_METRICS, count)]
--- a/src/bramleydyke/core/records.py
+++ b/src/bramleydyke/core/records.py
@@ -52,6 +52,7 @@
         replies: Agents that said they never ran it, while querying.
         home: The agent that it was handed over to.
         answer: The answer, while it is kept.
+        never_ran: True once it is certain that no earlier attempt ran.
     """
 
     request_id: RequestId
@@ -65,6 +66,7 @@
     answer: bytes | None = None
     failure: ErrorKind = ErrorKind.UPSTREAM_FAILED
     query_ends_at: float = 0.0
+    never_ran: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramleydyke/core/request_edge.py
+++ b/src/bramleydyke/core/request_edge.py
@@ -61,9 +61,9 @@
         service_id = self.config.by_address.get(message.address)
         service = None if service_id is None else self.config.service(service_id)
         if service is None:
-            return self._refuse(message.caller, ErrorKind.NO_SERVICE)
+            return self._refuse_unplaced(message, ErrorKind.NO_SERVICE)
         if not self.limits.start_request(service.partner_id):
-            return self._refuse(message.caller, ErrorKind.PARTNER_LIMIT)
+            return self._refuse_unplaced(message, ErrorKind.PARTNER_LIMIT)
         placement = self._placement(message, service, now=now)
         self.waiting[placement.number] = _Waiting(message.caller, service.partner_id)
         self.numbers[message.caller] = placement.number
@@ -90,7 +90,7 @@
         self, message: RequestArrived, service: ServiceConfig, *, now: float
     ) -> Placement:
         number = next(self._next_number)
-        keyed = message.request_id is not None and not message.idempotent
+        keyed = _keyed(message)
         made_id = f"{self.node_id}/{self.incarnation}/{number}"
         request_id = f"key/{message.request_id}" if keyed else made_id
         valid = FIRST_ATTEMPT_VALID_S if message.first_attempt else 0.0
@@ -105,8 +105,18 @@
             first_attempt_until=now + valid,
             deadline=now + min(message.timeout, MAX_REQUEST_TIMEOUT_S),
             payload=message.payload,
+            earlier_may_have_run=_may_repeat(message),
         )
 
+    def _refuse_unplaced(
+        self, message: RequestArrived, kind: ErrorKind
+    ) -> list[Envelope]:
+        """Refuses a request of which an earlier attempt may have run."""
+        told = ErrorKind.RECORD_UNKNOWN if _may_repeat(message) else kind
+        count = Count(name=counter_name(kind))
+        counted = Envelope(self.node_id, LOCAL_METRICS, count)
+        return [*self._refuse(message.caller, told), counted]
+
     def _refuse(self, caller: int, kind: ErrorKind) -> list[Envelope]:
         refusal = RefuseCaller(caller=caller, kind=kind)
         count = Count(name=counter_name(kind, action="answered"))
@@ -114,3 +124,13 @@
             Envelope(self.node_id, LOCAL_CALLER, refusal),
             Envelope(self.node_id, LOCAL_METRICS, count),
         ]
+
+
+def _keyed(message: RequestArrived) -> bool:
+    """Tells whether a repetition of the request must be recognised."""
+    return message.request_id is not None and not message.idempotent
+
+
+def _may_repeat(message: RequestArrived) -> bool:
+    """Tells whether an earlier attempt of the request may have run."""
+    return _keyed(message) and not message.first_attempt
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -263,7 +263,9 @@
         askers = dict(record.askers)
         self.timers.cancel(record.request_id)
         self.records.remove(record.request_id)
-        return self._refuse_all(record.request_id, askers, kind, now=now)
+        return self._refuse_all(
+            record.request_id, askers, kind, never_ran=record.never_ran, now=now
+        )
 
     # Cancellation and deadlines.
 
@@ -456,7 +458,11 @@
         self.records.finish(record, RecordState.HANDED_OVER, now=now)
 
     def _run_or_place(self, record: Record, *, now: float) -> list[Envelope]:
-        """Runs a keyed request here, or at another agent with a free slot."""
+        """Runs a keyed request here, or at another agent with a free slot.
+
+        By now it is certain that no earlier attempt has run.
+        """
+        record.never_ran = True
         if self.admission.has_free_slot():
             return self._enqueue(record, now=now)
         offer = record.offer
@@ -527,12 +533,13 @@
         ask: int,
         kind: ErrorKind,
         *,
+        never_ran: bool = False,
         now: float,
     ) -> list[Envelope]:
         self.records.refuse(request_id, asker, ask=ask, kind=kind, now=now)
         count = Count(name=counter_name(kind))
         return [
-            self._refusal(asker, request_id, ask, kind),
+            self._refusal(asker, request_id, ask, kind, never_ran=never_ran),
             Envelope(self.node_id, LOCAL_METRICS, count),
         ]
 
@@ -542,12 +549,15 @@
         askers: dict[Asker, int],
         kind: ErrorKind,
         *,
+        never_ran: bool = False,
         now: float,
     ) -> list[Envelope]:
         return [
             sent
             for asker, ask in askers.items()
-            for sent in self._refuse(asker, request_id, ask, kind, now=now)
+            for sent in self._refuse(
+                asker, request_id, ask, kind, never_ran=never_ran, now=now
+            )
         ]
 
     def _refuse_moved(self, record: Record, asker: Asker, ask: int) -> list[Envelope]:
@@ -565,6 +575,7 @@
         kind: ErrorKind,
         *,
         home: UpstreamId | None = None,
+        never_ran: bool = False,
     ) -> Envelope:
         refusal = Refusal(
             request_id=request_id,
@@ -574,6 +585,7 @@
             backlog=self.admission.backlog(),
             incarnation=self.incarnation,
             home=home,
+            never_ran=never_ran,
         )
         return Envelope(self.node_id, asker.node_id, refusal)
 
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -132,6 +132,9 @@
     home: UpstreamId | None = None
     """For ``MOVED``: the upstream whose agent holds the record."""
 
+    never_ran: bool = False
+    """For a keyed request: no attempt with this id had run anywhere."""
+
 
 class Answer(Message):
     """The whole answer to a request."""
