--- a/src/bramleydyke/core/records.py
+++ b/src/bramleydyke/core/records.py
@@ -52,6 +52,7 @@
         replies: Agents that said they never ran it, while querying.
         home: The agent that it was handed over to.
         answer: The answer, while it is kept.
+        never_ran: True once it is certain that no earlier attempt ran.
     """
 
     request_id: RequestId
@@ -65,6 +66,7 @@
     answer: bytes | None = None
     failure: ErrorKind = ErrorKind.UPSTREAM_FAILED
     query_ends_at: float = 0.0
+    never_ran: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +120,15 @@
         kind: ErrorKind,
         now: float,
     ) -> None:
-        """Remembers that offers up to ``ask`` were refused."""
+        """Remembers that offers up to ``ask`` were refused.
+
+        Refusing a late copy of an older offer keeps the newest refused ask;
+        lowering it would let the copies between the two run.
+        """
         key = (request_id, asker)
-        self.refusals[key] = _Refused(ask, kind)
+        known = self.refusals.get(key)
+        if known is None or ask > known.ask:
+            self.refusals[key] = _Refused(ask, kind)
         self._old_refusals.set(key, now + MAX_PACKET_AGE_S)
 
     def refused_kind(
