--- /dev/null
+++ b/src/bramleydyke/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of cost and balance."""
--- /dev/null
+++ b/src/bramleydyke/bench/cores.py
@@ -0,0 +1,313 @@
+"""Many cores in one process: a heap of delayed messages, and an object store.
+
+Real ``Balancer`` and ``Agent`` objects exchange encoded messages without
+sockets. Time is simulated; the order of events depends on the seed only.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol, Union
+
+import msgspec
+
+from bramleydyke.core.config import ConfigDelta
+from bramleydyke.messages import (
+    Count,
+    Envelope,
+    Message,
+    Payload,
+    PlatformRead,
+    PlatformReply,
+    PlatformWrite,
+)
+from bramleydyke.types import (
+    LOCAL_METRICS,
+    LOCAL_PLATFORM,
+    NodeId,
+    PlatformStatus,
+)
+
+STORE_DELAY_S = 0.005
+"""Time from a call to the store to its reply."""
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(
+    Union[(ConfigDelta, *Message.__subclasses__())]  # noqa: UP007
+)
+
+
+class Core(Protocol):
+    """A facade: a balancer, an agent, or a baseline that is weighed."""
+
+    node_id: NodeId
+
+    def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
+        """Takes one message."""
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Does what is due."""
+
+    def next_wakeup(self) -> float | None:
+        """Returns when something is due."""
+
+
+@dataclass(slots=True)
+class _Wait:
+    caller: NodeId
+    read: PlatformRead
+    ends_at: float
+
+
+@dataclass(slots=True)
+class Store:
+    """Object store with versions, conditional writes and waiting reads.
+
+    Attributes:
+        objects: Value and version of each object.
+        calls: Number of calls of each kind.
+        down: True during an outage: calls fail at once.
+        lose_replies: Writes take effect but their replies are lost.
+    """
+
+    objects: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    calls: Counter[str] = field(default_factory=Counter)
+    down: bool = False
+    lose_replies: bool = False
+    waits: list[_Wait] = field(default_factory=list)
+    _clock: int = 0
+
+    def put(self, path: str, value: bytes) -> int:
+        """Writes an object unconditionally; returns its version."""
+        self._clock += 1
+        self.objects[path] = (value, self._clock)
+        return self._clock
+
+    def call(
+        self, caller: NodeId, message: Payload, *, now: float
+    ) -> PlatformReply | None:
+        """Takes a call; returns its reply, or None if none comes now."""
+        self.calls[type(message).__name__] += 1
+        assert isinstance(message, PlatformRead | PlatformWrite)
+        if self.down:
+            return PlatformReply(call=message.call, status=PlatformStatus.UNAVAILABLE)
+        if isinstance(message, PlatformWrite):
+            return self._write(message)
+        value, version = self._value(message.path)
+        if message.after is not None and version <= message.after:
+            self.waits.append(_Wait(caller, message, now + message.timeout))
+            return None
+        return self._found(message.call, value, version)
+
+    def due(self, *, now: float) -> list[tuple[NodeId, PlatformReply]]:
+        """Returns the replies to waiting reads that end now."""
+        out = []
+        left = []
+        for wait in self.waits:
+            value, version = self._value(wait.read.path)
+            if wait.read.after is not None and version > wait.read.after:
+                out.append((wait.caller, self._found(wait.read.call, value, version)))
+            elif now >= wait.ends_at:
+                unchanged = self._found(wait.read.call, None, version)
+                out.append((wait.caller, unchanged))
+            else:
+                left.append(wait)
+        self.waits = left
+        return out
+
+    def _write(self, message: PlatformWrite) -> PlatformReply | None:
+        value, version = self._value(message.path)
+        if version != message.expected:
+            return PlatformReply(
+                call=message.call,
+                status=PlatformStatus.CONFLICT,
+                version=version,
+                value=value,
+            )
+        version = self.put(message.path, message.value)
+        if self.lose_replies:
+            return None
+        return PlatformReply(
+            call=message.call, status=PlatformStatus.OK, version=version
+        )
+
+    def _value(self, path: str) -> tuple[bytes | None, int]:
+        if not path.endswith("/"):
+            return self.objects.get(path, (None, 0))
+        below = {
+            name: version
+            for name, (_, version) in self.objects.items()
+            if name.startswith(path)
+        }
+        return msgspec.json.encode(below), max(below.values(), default=0)
+
+    def _found(self, call: int, value: bytes | None, version: int) -> PlatformReply:
+        found = PlatformStatus.OK if version or value else PlatformStatus.NOT_FOUND
+        return PlatformReply(call=call, status=found, version=version, value=value)
+
+
+@dataclass(slots=True, kw_only=True)
+class Usage:
+    """What one node has used."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    processor_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class CoreNetwork:
+    """Cores joined by a network with delay and loss.
+
+    Attributes:
+        delay: Returns the delay between two nodes, in seconds.
+        loss: Share of messages between nodes that get lost.
+        cut: Tells whether a message cannot pass, as in a partition.
+        paused: Nodes that do not run; messages to them wait.
+    """
+
+    random_source: random.Random
+    delay: Callable[[NodeId, NodeId], float]
+    loss: float = 0.0
+    cut: Callable[[NodeId, NodeId], bool] = lambda sender, receiver: False
+    now: float = 0.0
+    store: Store = field(default_factory=Store)
+    nodes: dict[NodeId, Core] = field(default_factory=dict)
+    usage: dict[NodeId, Usage] = field(default_factory=dict)
+    counts: Counter[str] = field(default_factory=Counter)
+    kinds: Counter[str] = field(default_factory=Counter)
+    """Bytes sent of each message type."""
+
+    paused: set[NodeId] = field(default_factory=set)
+    _heap: list[tuple[float, int, NodeId, Envelope | None, bytes]] = field(
+        default_factory=list
+    )
+    _number: int = 0
+    _wakes: dict[NodeId, float] = field(default_factory=dict)
+    _held: dict[NodeId, list[tuple[Envelope, bytes]]] = field(default_factory=dict)
+
+    def add(self, core: Core) -> None:
+        """Adds a core, which is woken at once."""
+        self.nodes[core.node_id] = core
+        self.usage[core.node_id] = Usage()
+        self._plan_wake(core.node_id, self.now)
+
+    def remove(self, node_id: NodeId) -> None:
+        """Ends a core without notice."""
+        del self.nodes[node_id]
+        self._wakes.pop(node_id, None)
+
+    def resume(self, node_id: NodeId) -> None:
+        """Lets a paused core run again; waiting messages arrive at once."""
+        self.paused.discard(node_id)
+        for envelope, data in self._held.pop(node_id, []):
+            self._push(self.now, node_id, envelope, data)
+        self._plan_wake(node_id, self.now)
+
+    def send(self, envelopes: list[Envelope]) -> None:
+        """Sends messages, loses some of them."""
+        for envelope in envelopes:
+            if envelope.receiver == LOCAL_METRICS:
+                assert isinstance(envelope.payload, Count)
+                self.counts[envelope.payload.name] += envelope.payload.amount
+            elif envelope.receiver == LOCAL_PLATFORM:
+                self._call_store(envelope)
+            elif envelope.receiver.startswith(("balancer/", "agent/")):
+                self._send(envelope)
+
+    def run(self, until: float) -> None:
+        """Runs all that happens until a time."""
+        while self._heap and self._heap[0][0] <= until:
+            at, _, node_id, envelope, data = heapq.heappop(self._heap)
+            self.now = max(self.now, at)
+            self._step(node_id, envelope, data)
+        self.now = until
+
+    def run_until(self, done: Callable[[], bool], *, step: float, end: float) -> bool:
+        """Runs in steps until a condition holds; returns whether it does."""
+        while not done():
+            if self.now >= end:
+                return False
+            self.run(min(self.now + step, end))
+        return True
+
+    def _step(self, node_id: NodeId, envelope: Envelope | None, data: bytes) -> None:
+        if node_id == LOCAL_PLATFORM:
+            self._store_step(envelope)
+            return
+        core = self.nodes.get(node_id)
+        if core is None:
+            return
+        if node_id in self.paused:
+            if envelope is not None:
+                self._held.setdefault(node_id, []).append((envelope, data))
+            return
+        if envelope is None and self._wakes.get(node_id) != self.now:
+            return
+        started = time.perf_counter()
+        if envelope is None:
+            del self._wakes[node_id]
+            out = core.wake(now=self.now)
+        else:
+            payload = _decoder.decode(data)
+            out = core.receive(
+                Envelope(envelope.sender, node_id, payload), now=self.now
+            )
+        next_at = core.next_wakeup()
+        self.send(out)
+        self.usage[node_id].processor_s += time.perf_counter() - started
+        if next_at is not None:
+            self._plan_wake(node_id, next_at)
+
+    def _plan_wake(self, node_id: NodeId, at: float) -> None:
+        at = max(at, self.now)
+        planned = self._wakes.get(node_id)
+        if planned is None or at < planned or planned < self.now:
+            self._wakes[node_id] = at
+            self._push(at, node_id, None, b"")
+
+    def _send(self, envelope: Envelope) -> None:
+        data = _encoder.encode(envelope.payload)
+        sender, receiver = envelope.sender, envelope.receiver
+        self.kinds[type(envelope.payload).__name__] += len(data)
+        if sender in self.usage:
+            self.usage[sender].sent_bytes += len(data)
+        lost = self.random_source.uniform(0.0, 1.0) < self.loss
+        if lost or receiver not in self.nodes or self.cut(sender, receiver):
+            return
+        self.usage[receiver].received_bytes += len(data)
+        at = self.now + self.delay(sender, receiver)
+        self._push(at, receiver, envelope, data)
+
+    def _call_store(self, envelope: Envelope) -> None:
+        reply = self.store.call(envelope.sender, envelope.payload, now=self.now)
+        if reply is not None:
+            self._reply(envelope.sender, reply)
+        elif isinstance(envelope.payload, PlatformRead):
+            end = self.now + envelope.payload.timeout
+            self._push(end, LOCAL_PLATFORM, None, b"")
+        self._push(self.now, LOCAL_PLATFORM, None, b"")
+
+    def store_changed(self) -> None:
+        """Ends the waits that a write from outside has satisfied."""
+        self._store_step(None)
+
+    def _store_step(self, _: Envelope | None) -> None:
+        for caller, reply in self.store.due(now=self.now):
+            self._reply(caller, reply)
+
+    def _reply(self, caller: NodeId, reply: PlatformReply) -> None:
+        at = self.now + STORE_DELAY_S
+        envelope = Envelope(LOCAL_PLATFORM, caller, reply)
+        self._push(at, caller, envelope, _encoder.encode(reply))
+
+    def _push(
+        self, at: float, node_id: NodeId, envelope: Envelope | None, data: bytes
+    ) -> None:
+        self._number += 1
+        heapq.heappush(self._heap, (at, self._number, node_id, envelope, data))
--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -98,3 +98,87 @@
 
 MAX_PACKET_AGE_S = 60.0
 """Longest time that a message between own processes can be on its way."""
+
+MAX_DELTA_PART_BYTES = 48_000
+"""Entries of a configuration delta in one datagram."""
+
+DELTA_TIMEOUT_S = 0.5
+"""Wait for a requested delta before another peer is asked."""
+
+HOMES = 2
+"""Home balancers of an agent or balancer: one suspects, one confirms."""
+
+SPREAD_DELAY_S = 0.1
+"""Changes of members are collected for this long before they are spread."""
+
+MEMBERS_PER_DELTA = 100
+"""Announcements in one datagram, about 130 bytes each."""
+
+NEWS_PER_FLUSH = 6
+"""Announcements that a balancer spreads at once.
+
+With ``FANOUT`` copies every ``SPREAD_DELAY_S`` more would exceed 28 KB/s.
+"""
+
+MEMBER_BUCKETS = 256
+"""Buckets of the members' digest: 1 KB, 17 of 4,350 members in each."""
+
+BUCKETS_PER_EXCHANGE = 4
+"""Differing buckets that are repaired in one exchange between two peers."""
+
+AVOID_HOME_S = 10.0
+"""Time for which a process avoids a home balancer that did not reply."""
+
+MEMBER_RETENTION_S = 600.0
+"""Time after which a member that is gone is forgotten."""
+
+LEASE_DURATION_S = 15.0
+"""Time for which a lease is valid after the write that took it was sent."""
+
+LEASE_MARGIN_S = 1.0
+"""Others wait this much longer: clocks do not run at the same rate."""
+
+LEASE_RENEW_S = 5.0
+"""Interval at which a holder renews its lease."""
+
+LEASE_LOOK_S = 7.5
+"""Interval at which a candidate reads a lease that another one holds."""
+
+LEASE_CANDIDATES = 3
+"""Balancers of a zone that look whether a lease is vacant."""
+
+PLATFORM_TIMEOUT_S = 5.0
+"""Wait for the platform's reply to a read or write."""
+
+WATCH_WAIT_S = 30.0
+"""Time for which a watch stays pending at the platform."""
+
+STORE_BACKOFF_BASE_S = 1.0
+"""First delay after a failed platform call."""
+
+STORE_BACKOFF_CAP_S = 15.0
+"""Longest delay between platform calls of one watch or lease."""
+
+DRAIN_RESEND_S = 0.5
+"""Interval at which an unacknowledged drain order is sent again."""
+
+STATUS_LOOK_S = 5.0
+"""Interval at which a zone's status is computed."""
+
+STATUS_CHANGED_S = 60.0
+"""Mean interval between status writes of a zone that always changes.
+
+At the target nine zones make nine writes a minute.
+"""
+
+STATUS_BURST = 3.0
+"""Status writes that a zone may make one after another after a quiet time."""
+
+STATUS_UNCHANGED_S = 300.0
+"""Interval of status writes of a zone while nothing changes."""
+
+STATUS_COLLECT_S = 1.0
+"""Time that the balancers of a zone have to answer a status query."""
+
+STATUS_NAMES = 200
+"""Upstreams that a zone's status names in each list."""
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -5,12 +5,11 @@
 import random
 from collections.abc import Iterable
 
-import msgspec
-
-from bramleydyke.constants import HEARTBEAT_S, RECORD_RETENTION_S
+from bramleydyke.constants import MEMBER_RETENTION_S, RECORD_RETENTION_S
 from bramleydyke.core.admission import Admission
-from bramleydyke.core.balancer import Handler
+from bramleydyke.core.agent_link import AgentLink
 from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.control import Handler
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_server import RequestServer
@@ -20,7 +19,10 @@
     Answer,
     Cancelled,
     CancelRequest,
+    DrainOrder,
     Envelope,
+    HeartbeatReply,
+    MemberDelta,
     Offer,
     RecordQuery,
     RecordReply,
@@ -50,6 +52,7 @@
         members: Agents of the service and the home balancers.
         requests: Requests at this upstream.
         placer: Requests that this agent places as their home.
+        link: Homes, configuration and drain.
     """
 
     def __init__(
@@ -69,11 +72,9 @@
     ) -> None:
         self.node_id = agent_node(service_id, upstream_id)
         self.service_id = service_id
-        self.balancers = list(balancers)
         self.config = ConfigStore()
         self.members = Members()
-        self.heartbeat_at = now
-        self.announcement = Announcement(
+        announcement = Announcement(
             node_id=self.node_id,
             incarnation=incarnation,
             revision=1,
@@ -86,6 +87,14 @@
             slots=slots,
             credential=credential,
         )
+        self.link = AgentLink(
+            announcement=announcement,
+            config=self.config,
+            members=self.members,
+            seeds=balancers,
+            random_source=random_source,
+            now=now,
+        )
         self.placer = Placer(
             node_id=self.node_id,
             members=self.members,
@@ -107,7 +116,7 @@
             peers=self.peers,
             placer=self.placer,
         )
-        server = self.requests
+        server, link = self.requests, self.link
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
             CancelRequest: lambda who, msg, now: server.cancel(who, msg, now=now),
@@ -120,9 +129,12 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
-            ConfigDelta: self._config_delta,
-            Announcement: self._peer_announced,
+            ConfigDelta: lambda who, msg, now: link.take(who, msg, now=now),
+            Announcement: lambda _, msg, now: link.learn(msg, now=now),
+            HeartbeatReply: lambda who, msg, now: link.replied(who, msg, now=now),
+            MemberDelta: lambda _, msg, now: link.members_told(msg, now=now),
             SetDrain: self._set_drain,
+            DrainOrder: self._drain_order,
         }
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
@@ -134,25 +146,27 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
-        out = self.requests.wake(now=now)
-        if now >= self.heartbeat_at:
-            self.heartbeat_at = now + HEARTBEAT_S
-            out += self.announce()
-        return out
+        self.members.forget_gone(before=now - MEMBER_RETENTION_S)
+        return self.requests.wake(now=now) + self.link.home.wake(now=now)
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
         requests_at = self.requests.next_wakeup()
-        if requests_at is None:
-            return self.heartbeat_at
-        return min(requests_at, self.heartbeat_at)
+        heartbeat_at = self.link.home.heartbeat_at
+        return heartbeat_at if requests_at is None else min(requests_at, heartbeat_at)
+
+    @property
+    def announcement(self) -> Announcement:
+        """This agent as it describes itself."""
+        return self.link.home.announcement
 
-    def announce(self) -> list[Envelope]:
+    def announce(self, *, now: float = 0.0) -> list[Envelope]:
         """Returns this agent's announcement to its home balancers."""
-        return [
-            Envelope(self.node_id, balancer, self.announcement)
-            for balancer in self.balancers
-        ]
+        return self.link.home.announce(now=now)
+
+    def stop(self, *, now: float) -> list[Envelope]:
+        """Announces a clean stop; the process ends after it is sent."""
+        return self.link.stop(now=now)
 
     def idle(self) -> bool:
         """Tells whether a draining agent may stop."""
@@ -191,23 +205,14 @@
         since = self.members.changed_at.get(member.node_id, now)
         return not gone or now - since < RECORD_RETENTION_S
 
-    def _config_delta(
-        self, _: NodeId, delta: ConfigDelta, now: float
-    ) -> list[Envelope]:
-        self.config.apply(delta, now=now)
-        return []
+    def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
+        out = self.link.set_drain(message, now=now)
+        self.requests.draining = self.link.drain.draining
+        return out
 
-    def _peer_announced(
-        self, _: NodeId, announcement: Announcement, now: float
+    def _drain_order(
+        self, sender: NodeId, order: DrainOrder, now: float
     ) -> list[Envelope]:
-        if announcement.service_id == self.service_id:
-            self.members.merge(announcement, now=now)
-        return []
-
-    def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
-        self.requests.draining = message.draining
-        state = MemberState.DRAINING if message.draining else MemberState.RUNNING
-        self.announcement = msgspec.structs.replace(
-            self.announcement, state=state, revision=self.announcement.revision + 1
-        )
-        return self.announce()
+        out = self.link.ordered(sender, order, now=now)
+        self.requests.draining = self.link.drain.draining
+        return out
--- /dev/null
+++ b/src/bramleydyke/core/agent_link.py
@@ -0,0 +1,149 @@
+"""The agent's side of the control plane: homes, configuration, drain."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.config_parts import ConfigReceiver
+from bramleydyke.core.drain import DrainState
+from bramleydyke.core.home_link import HomeLink
+from bramleydyke.core.members import GONE, Members
+from bramleydyke.messages import (
+    Announcement,
+    DrainOrder,
+    Envelope,
+    Heartbeat,
+    HeartbeatReply,
+    MemberDelta,
+    SetDrain,
+)
+from bramleydyke.types import Generation, MemberState, NodeId
+
+KEEP_UNLISTED_S = 30.0
+"""A member that no home lists any more is kept for this long."""
+
+
+class AgentLink:
+    """What an agent learns from its home balancers and tells them.
+
+    Attributes:
+        home: Heartbeats and announcements.
+        receiver: Takes configuration deltas.
+        drain: Whether the agent drains.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: Announcement,
+        config: ConfigStore,
+        members: Members,
+        seeds: Iterable[NodeId],
+        random_source: random.Random,
+        now: float,
+    ) -> None:
+        self.config = config
+        self.members = members
+        self.home = HomeLink(
+            announcement=announcement,
+            members=members,
+            seeds=list(seeds),
+            heartbeat=self._heartbeat,
+            random_source=random_source,
+        )
+        self.receiver = ConfigReceiver(
+            node_id=announcement.node_id,
+            config=config,
+            service_id=announcement.service_id,
+        )
+        self.drain = DrainState(
+            node_id=announcement.node_id, incarnation=announcement.incarnation
+        )
+        members.merge(announcement, now=now)
+
+    def replied(
+        self, sender: NodeId, reply: HeartbeatReply, *, now: float
+    ) -> list[Envelope]:
+        """Takes a home's reply; asks for a newer configuration."""
+        out = self.home.replied(sender, reply, now=now)
+        partner_id = self.home.announcement.partner_id
+        assert partner_id is not None
+        if reply.generation > self.config.generation(partner_id):
+            out.append(self.receiver.request(partner_id, sender))
+        return out
+
+    def take(self, sender: NodeId, delta: ConfigDelta, *, now: float) -> list[Envelope]:
+        """Takes a configuration delta into force."""
+        if delta.partner_id != self.home.announcement.partner_id:
+            return []
+        return self.receiver.take(sender, delta, now=now)[1]
+
+    def learn(self, announcement: Announcement, *, now: float) -> list[Envelope]:
+        """Takes an announcement that concerns this agent."""
+        own = self.home.announcement
+        if announcement.node_id == own.node_id:
+            return self.home.refute(announcement, now=now)
+        if announcement.service_id in (None, own.service_id):
+            self.members.merge(announcement, now=now)
+        return []
+
+    def members_told(self, delta: MemberDelta, *, now: float) -> list[Envelope]:
+        """Takes the members that a home balancer knows."""
+        out = [
+            envelope
+            for item in delta.announcements
+            for envelope in self.learn(item, now=now)
+        ]
+        if delta.complete:
+            self._drop_unlisted({item.node_id for item in delta.announcements}, now=now)
+        return out
+
+    def set_drain(self, message: SetDrain, *, now: float) -> list[Envelope]:
+        """Starts or ends a drain that a signal or local command asks for."""
+        self.drain.stopping = message.draining
+        return self._drain_changed(now=now)
+
+    def ordered(
+        self, sender: NodeId, order: DrainOrder, *, now: float
+    ) -> list[Envelope]:
+        """Takes an operator's drain order."""
+        return self.drain.order(sender, order) + self._drain_changed(now=now)
+
+    def stop(self, *, now: float) -> list[Envelope]:
+        """Announces a clean stop."""
+        return self.home.change(MemberState.STOPPED, now=now)
+
+    def _drain_changed(self, *, now: float) -> list[Envelope]:
+        if self.drain.state is self.home.announcement.state:
+            return []
+        return self.home.change(self.drain.state, now=now)
+
+    def _heartbeat(self, announcement: Announcement) -> Heartbeat:
+        partner_id, service_id = announcement.partner_id, announcement.service_id
+        assert partner_id is not None and service_id is not None
+        return Heartbeat(
+            incarnation=announcement.incarnation,
+            revision=announcement.revision,
+            view=self.members.concerning(service_id, announcement.zone)[0],
+            partner_id=partner_id,
+            generation=Generation(self.config.generation(partner_id)),
+        )
+
+    def _drop_unlisted(self, listed: set[NodeId], *, now: float) -> None:
+        """Removes members that the homes have forgotten.
+
+        What this agent has learned a moment ago, the home may not know yet.
+        """
+        own_id = self.home.announcement.node_id
+        unlisted = [
+            node_id
+            for node_id, known in self.members.by_node.items()
+            if node_id not in listed
+            and node_id != own_id
+            and known.state not in GONE
+            and now - self.members.changed_at[node_id] > KEEP_UNLISTED_S
+        ]
+        for node_id in unlisted:
+            self.members.forget(node_id)
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Iterable
 
-from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.control import Control, Handler
+from bramleydyke.core.credentials import Credentials
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
@@ -22,16 +23,15 @@
     RequestArrived,
 )
 from bramleydyke.types import (
+    AvailabilityZone,
     Incarnation,
     MemberState,
     NodeId,
+    PartnerId,
     ServiceId,
     UpstreamId,
 )
 
-Handler = Callable[[NodeId, Any, float], list[Envelope]]
-"""Takes the sender, the payload and the time."""
-
 
 class Balancer:
     """One balancer, free of input and output.
@@ -41,6 +41,7 @@
         members: Agents and balancers known here.
         placer: Requests on their way to an agent.
         edge: Callers that wait here.
+        control: Dissemination, membership, leases and status.
     """
 
     def __init__(
@@ -50,7 +51,25 @@
         incarnation: Incarnation,
         random_source: random.Random,
         limits: PartnerLimits | None = None,
+        zone: AvailabilityZone | None = None,
+        endpoint: str = "",
+        seeds: Iterable[NodeId] = (),
+        credentials: Credentials | None = None,
+        partners: Iterable[PartnerId] = (),
     ) -> None:
+        """Creates a balancer.
+
+        Args:
+            node_id: ``balancer/<name>``.
+            incarnation: Higher than that of every earlier run.
+            random_source: Seeded source.
+            limits: Limits of each partner.
+            zone: Availability zone from the settings.
+            endpoint: Address that it announces, as ``ip:port``.
+            seeds: Balancers that are asked first.
+            credentials: Secret of each partner; None accepts any proof.
+            partners: Partners whose sheets are watched at the platform.
+        """
         self.node_id = node_id
         self.incarnation = incarnation
         self.config = ConfigStore()
@@ -72,6 +91,23 @@
             placer=self.placer,
             limits=limits or PartnerLimits(),
         )
+        self.control = Control(
+            announcement=Announcement(
+                node_id=node_id,
+                incarnation=incarnation,
+                revision=1,
+                state=MemberState.RUNNING,
+                zone=zone or AvailabilityZone(""),
+                endpoint=endpoint,
+            ),
+            config=self.config,
+            members=self.members,
+            seeds=seeds,
+            credentials=credentials,
+            partners=partners,
+            random_source=random_source,
+        )
+        self.now = 0.0
         self.handlers: dict[type, Handler] = {
             RequestArrived: lambda _, msg, now: self.edge.arrived(msg, now=now),
             RequestAbandoned: lambda _, msg, now: self.edge.abandoned(msg, now=now),
@@ -79,12 +115,11 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
-            ConfigDelta: self._config_delta,
-            Announcement: self._announcement,
-        }
+        } | self.control.handlers()
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
+        self.now = now
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -92,15 +127,26 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
-        return self.placer.wake(now=now)
+        self.now = now
+        return self.placer.wake(now=now) + self.control.wake(now=now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do, in seconds."""
-        return self.placer.next_wakeup()
+        control_at = self.control.next_wakeup(self.now)
+        requests_at = self.placer.next_wakeup()
+        return control_at if requests_at is None else min(requests_at, control_at)
+
+    def stop(self, *, now: float) -> list[Envelope]:
+        """Announces a clean stop; the process ends after it is sent."""
+        return self.control.stop(now=now)
+
+    def idle(self) -> bool:
+        """Tells whether a draining balancer may stop."""
+        return not self.placer.pending
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
-        return list(self.members.upstreams(service_id, MemberState.RUNNING))
+        return self.members.usable(service_id)
 
     def weights(self, placement: Placement, now: float) -> dict[UpstreamId, float]:
         """Returns the weights of the upstreams that a request may go to."""
@@ -108,15 +154,3 @@
             return self.config.settled_weights(placement.service_id, now=now)
         service = self.config.service(placement.service_id)
         return {} if service is None else service.weights()
-
-    def _config_delta(
-        self, _: NodeId, delta: ConfigDelta, now: float
-    ) -> list[Envelope]:
-        self.config.apply(delta, now=now)
-        return []
-
-    def _announcement(
-        self, _: NodeId, announcement: Announcement, now: float
-    ) -> list[Envelope]:
-        self.members.merge(announcement, now=now)
-        return []
--- a/src/bramleydyke/core/config.py
+++ b/src/bramleydyke/core/config.py
@@ -89,6 +89,9 @@
     base: Generation
     generation: Generation
     services: tuple[ServiceConfig, ...]
+    part: int = 0
+    parts: int = 1
+    """Datagrams that the delta is split into; applied only as a whole."""
 
 
 def full_delta(config: PartnerConfig) -> ConfigDelta:
@@ -145,6 +148,8 @@
             True if the generation moved forward.
         """
         current = self.generation(delta.partner_id)
+        if delta.parts != 1:
+            return False
         if delta.generation <= current or delta.base > current:
             return False
         for entry in delta.services:
--- /dev/null
+++ b/src/bramleydyke/core/config_parts.py
@@ -0,0 +1,120 @@
+"""Configuration deltas on their way: split into datagrams, put together."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import MAX_DELTA_PART_BYTES
+from bramleydyke.core.config import ConfigDelta, ConfigStore, ServiceConfig
+from bramleydyke.messages import DeltaRequest, Envelope
+from bramleydyke.types import Generation, NodeId, PartnerId, ServiceId
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def split_delta(
+    delta: ConfigDelta, *, max_bytes: int = MAX_DELTA_PART_BYTES
+) -> list[ConfigDelta]:
+    """Returns parts of a delta that each fit into a datagram.
+
+    Every process splits the same delta in the same way, so that parts from
+    different peers complete each other.
+    """
+    groups: list[list[ServiceConfig]] = [[]]
+    size = 0
+    for entry in sorted(delta.services, key=lambda item: item.service_id):
+        entry_size = len(_encoder.encode(entry))
+        if groups[-1] and size + entry_size > max_bytes:
+            groups.append([])
+            size = 0
+        groups[-1].append(entry)
+        size += entry_size
+    return [
+        msgspec.structs.replace(
+            delta, services=tuple(group), part=index, parts=len(groups)
+        )
+        for index, group in enumerate(groups)
+    ]
+
+
+@dataclass(slots=True)
+class _Partial:
+    base: Generation
+    generation: Generation
+    parts: int
+    received: dict[int, ConfigDelta] = field(default_factory=dict)
+
+    def takes(self, delta: ConfigDelta) -> bool:
+        """Tells whether a part belongs to this delta."""
+        return (self.base, self.generation, self.parts) == (
+            delta.base,
+            delta.generation,
+            delta.parts,
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigReceiver:
+    """Takes deltas into force, whole ones and ones in parts.
+
+    Attributes:
+        node_id: This process.
+        config: Where deltas are applied.
+        service_id: The only service that this process keeps; None: all.
+        partial: Delta of each partner of which parts are missing.
+    """
+
+    node_id: NodeId
+    config: ConfigStore
+    service_id: ServiceId | None = None
+    partial: dict[PartnerId, _Partial] = field(default_factory=dict)
+
+    def request(self, partner_id: PartnerId, peer: NodeId) -> Envelope:
+        """Returns a request to a peer for what this process lacks."""
+        message = DeltaRequest(
+            partner_id=partner_id,
+            base=self.config.generation(partner_id),
+            service_id=self.service_id,
+        )
+        return Envelope(self.node_id, peer, message)
+
+    def take(
+        self, sender: NodeId, delta: ConfigDelta, *, now: float
+    ) -> tuple[bool, list[Envelope]]:
+        """Takes a delta or a part of one.
+
+        Returns:
+            Whether the generation moved forward, and a request with the right
+            base if the delta starts after this process's generation.
+        """
+        current = self.config.generation(delta.partner_id)
+        if delta.generation <= current:
+            return False, []
+        if delta.base > current:
+            return False, [self.request(delta.partner_id, sender)]
+        whole = self._whole(delta)
+        if whole is None or not self.config.apply(whole, now=now):
+            return False, []
+        self.partial.pop(delta.partner_id, None)
+        return True, []
+
+    def _whole(self, delta: ConfigDelta) -> ConfigDelta | None:
+        if delta.parts == 1:
+            return delta
+        partial = self.partial.get(delta.partner_id)
+        if partial is None or not partial.takes(delta):
+            if partial is not None and partial.generation > delta.generation:
+                return None
+            partial = _Partial(delta.base, delta.generation, delta.parts)
+            self.partial[delta.partner_id] = partial
+        partial.received[delta.part] = delta
+        if len(partial.received) < delta.parts:
+            return None
+        entries = [
+            entry
+            for index in sorted(partial.received)
+            for entry in partial.received[index].services
+        ]
+        return msgspec.structs.replace(delta, services=tuple(entries), part=0, parts=1)
--- /dev/null
+++ b/src/bramleydyke/core/control.py
@@ -0,0 +1,194 @@
+"""The control plane of a balancer: configuration, members, leases, status."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from bramleydyke.core.config import (
+    ConfigDelta,
+    ConfigStore,
+    PartnerConfig,
+    full_delta,
+)
+from bramleydyke.core.credentials import Credentials
+from bramleydyke.core.dissemination import Dissemination
+from bramleydyke.core.drain import DrainState
+from bramleydyke.core.members import Members
+from bramleydyke.core.membership import Membership
+from bramleydyke.core.status_writer import StatusWriter
+from bramleydyke.core.watcher import Watcher
+from bramleydyke.messages import (
+    Announcement,
+    ConfigDigest,
+    DeltaRequest,
+    DrainAck,
+    DrainOrder,
+    Envelope,
+    Heartbeat,
+    HeartbeatReply,
+    MemberDelta,
+    MemberDigest,
+    MemberSummary,
+    PlatformReply,
+    SetDrain,
+    StatusQuery,
+    StatusReply,
+    SuspectQuery,
+    SuspectReply,
+)
+from bramleydyke.types import Generation, MemberState, NodeId, PartnerId
+
+Handler = Callable[[NodeId, Any, float], list[Envelope]]
+"""Takes the sender, the payload and the time."""
+
+
+class Control:
+    """The control plane of one balancer.
+
+    Attributes:
+        membership: Members, heartbeats and suspicion.
+        dissemination: Exchange of the configuration.
+        watcher: Leases and watches of the platform.
+        status: Status of the zone.
+        drain: Whether this balancer drains.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: Announcement,
+        config: ConfigStore,
+        members: Members,
+        seeds: Iterable[NodeId],
+        credentials: Credentials | None,
+        partners: Iterable[PartnerId],
+        random_source: random.Random,
+    ) -> None:
+        partners = list(partners)
+        self.config = config
+        self.membership = Membership(
+            announcement=announcement,
+            members=members,
+            seeds=list(seeds),
+            credentials=credentials,
+            random_source=random_source,
+        )
+        self.dissemination = Dissemination(
+            node_id=announcement.node_id,
+            config=config,
+            peers=self.membership.peers.for_news,
+        )
+        self.watcher = Watcher(
+            own=announcement,
+            members=members,
+            partners=partners,
+            new_config=self._new_config,
+            random_source=random_source,
+        )
+        self.status = StatusWriter(
+            membership=self.membership,
+            config=config,
+            watcher=self.watcher,
+            partners=partners,
+        )
+        self.drain = DrainState(
+            node_id=announcement.node_id, incarnation=announcement.incarnation
+        )
+
+    def handlers(self) -> dict[type, Handler]:
+        """Returns the handler of each control message."""
+        membership, spread = self.membership, self.membership.spread
+        suspicion, watcher = self.membership.suspicion, self.watcher
+        return {
+            ConfigDelta: lambda who, msg, now: self.dissemination.take(
+                who, msg, now=now
+            ),
+            ConfigDigest: lambda who, msg, now: self.dissemination.digested(
+                who, msg, now=now
+            ),
+            DeltaRequest: lambda who, msg, _: self.dissemination.requested(who, msg),
+            Announcement: lambda who, msg, now: membership.announced(who, msg, now=now),
+            Heartbeat: self._heartbeat,
+            HeartbeatReply: lambda who, msg, now: membership.link.replied(
+                who, msg, now=now
+            ),
+            MemberDigest: lambda who, msg, _: spread.digested(who, msg),
+            MemberSummary: lambda who, msg, _: spread.summarised(who, msg),
+            MemberDelta: lambda who, msg, now: membership.delta(who, msg, now=now),
+            SuspectQuery: lambda who, msg, now: suspicion.queried(who, msg, now=now),
+            SuspectReply: self._suspect_reply,
+            PlatformReply: lambda _, msg, now: watcher.calls.replied(msg, now=now),
+            DrainOrder: self._drain_order,
+            DrainAck: lambda who, msg, _: watcher.acknowledged(who, msg),
+            SetDrain: self._set_drain,
+            StatusQuery: lambda who, msg, _: self.status.queried(who, msg),
+            StatusReply: lambda who, msg, _: self.status.replied(who, msg),
+        }
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Does what is due; returns the messages that follow from it."""
+        out = self.membership.wake(now=now)
+        for peer in self.membership.exchange_due(now=now):
+            out.append(self.dissemination.digest(peer))
+            out.append(self.membership.spread.digest(peer))
+        out += self.dissemination.wake(now=now)
+        out += self.watcher.wake(now=now)
+        return out + self.status.wake(now=now)
+
+    def next_wakeup(self, now: float) -> float:
+        """Returns when ``wake`` has something to do."""
+        times = (
+            self.membership.next_wakeup(),
+            self.dissemination.next_wakeup(),
+            self.watcher.next_wakeup(now),
+            self.status.next_wakeup(now),
+        )
+        return min(at for at in times if at is not None)
+
+    def stop(self, *, now: float) -> list[Envelope]:
+        """Announces a clean stop and gives up the lease."""
+        return self._enter(MemberState.STOPPED, now=now)
+
+    def _new_config(self, config: PartnerConfig, now: float) -> list[Envelope]:
+        node_id = self.membership.announcement.node_id
+        return self.dissemination.take(node_id, full_delta(config), now=now)
+
+    def _heartbeat(
+        self, sender: NodeId, message: Heartbeat, now: float
+    ) -> list[Envelope]:
+        partner_id = message.partner_id
+        generation = Generation(0)
+        if partner_id is not None:
+            generation = self.config.generation(partner_id)
+        return self.membership.heartbeat(
+            sender, message, generation=generation, now=now
+        )
+
+    def _suspect_reply(
+        self, sender: NodeId, reply: SuspectReply, now: float
+    ) -> list[Envelope]:
+        self.membership.confirmed(sender, reply, now=now)
+        return []
+
+    def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
+        self.drain.stopping = message.draining
+        return self._drain_changed(now=now)
+
+    def _drain_order(
+        self, sender: NodeId, order: DrainOrder, now: float
+    ) -> list[Envelope]:
+        return self.drain.order(sender, order) + self._drain_changed(now=now)
+
+    def _drain_changed(self, *, now: float) -> list[Envelope]:
+        return self._enter(self.drain.state, now=now)
+
+    def _enter(self, state: MemberState, *, now: float) -> list[Envelope]:
+        """Announces a new state; only a running balancer holds a lease."""
+        if state is self.membership.link.announcement.state:
+            return []
+        self.watcher.enabled = state is MemberState.RUNNING
+        self.watcher.look_at = now
+        out = self.membership.change(state, now=now)
+        return out + self.watcher.wake(now=now)
--- /dev/null
+++ b/src/bramleydyke/core/dissemination.py
@@ -0,0 +1,146 @@
+"""Dissemination of the configuration among balancers and to agents.
+
+News is announced to a few random peers by generation; whoever is behind asks
+for the difference. Generations of the platform are the only order, so lost,
+doubled or old messages never bring an older configuration back.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import DELTA_TIMEOUT_S, FANOUT
+from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.config_parts import ConfigReceiver, split_delta
+from bramleydyke.core.timers import Timers
+from bramleydyke.messages import ConfigDigest, DeltaRequest, Envelope
+from bramleydyke.types import Generation, NodeId, PartnerId
+
+MAX_SOURCES = 4
+"""Peers with a newer generation that are kept in case one does not answer."""
+
+MAX_ASKS = 6
+"""Requests for one generation; after that the next digest starts anew."""
+
+
+@dataclass(slots=True)
+class _Wanted:
+    generation: Generation
+    sources: deque[NodeId]
+    """Peers that have the generation; the first has been asked."""
+
+    asks: int = 1
+
+
+@dataclass(slots=True, kw_only=True)
+class Dissemination:
+    """The configuration's way through one balancer.
+
+    Attributes:
+        node_id: This balancer.
+        config: Configuration in force here.
+        peers: Returns the balancers that news is sent to.
+        receiver: Applies deltas, whole or in parts.
+        wanted: Generation of each partner that has been asked for.
+    """
+
+    node_id: NodeId
+    config: ConfigStore
+    peers: Callable[[int], list[NodeId]]
+    receiver: ConfigReceiver = field(init=False)
+    wanted: dict[PartnerId, _Wanted] = field(default_factory=dict)
+    timers: Timers[PartnerId] = field(default_factory=Timers)
+
+    def __post_init__(self) -> None:
+        self.receiver = ConfigReceiver(node_id=self.node_id, config=self.config)
+
+    def digest(self, peer: NodeId, *, reply: bool = False) -> Envelope:
+        """Returns this balancer's digest for a peer."""
+        digest = ConfigDigest(generations=dict(self.config.generations), reply=reply)
+        return Envelope(self.node_id, peer, digest)
+
+    def push(self) -> list[Envelope]:
+        """Returns digests that tell random peers of news."""
+        return [self.digest(peer) for peer in self.peers(FANOUT)]
+
+    def digested(
+        self, sender: NodeId, digest: ConfigDigest, *, now: float
+    ) -> list[Envelope]:
+        """Asks for what a peer has newer; tells it what it lacks."""
+        out = [
+            envelope
+            for partner_id, generation in digest.generations.items()
+            if generation > self.config.generation(partner_id)
+            for envelope in self._want(partner_id, generation, sender, now=now)
+        ]
+        behind = any(
+            generation > digest.generations.get(partner_id, Generation(0))
+            for partner_id, generation in self.config.generations.items()
+        )
+        if behind and not digest.reply:
+            out.append(self.digest(sender, reply=True))
+        return out
+
+    def requested(self, sender: NodeId, request: DeltaRequest) -> list[Envelope]:
+        """Answers with the entries that a peer or an agent lacks."""
+        if request.base >= self.config.generation(request.partner_id):
+            return []
+        delta = self.config.delta_since(request.partner_id, request.base)
+        if request.service_id is not None:
+            own = (
+                item for item in delta.services if item.service_id == request.service_id
+            )
+            delta = msgspec.structs.replace(delta, services=tuple(own))
+        return [Envelope(self.node_id, sender, part) for part in split_delta(delta)]
+
+    def take(self, sender: NodeId, delta: ConfigDelta, *, now: float) -> list[Envelope]:
+        """Takes a delta into force and tells peers of it."""
+        applied, out = self.receiver.take(sender, delta, now=now)
+        if not applied:
+            return out
+        wanted = self.wanted.get(delta.partner_id)
+        if wanted is not None and wanted.generation <= delta.generation:
+            del self.wanted[delta.partner_id]
+            self.timers.cancel(delta.partner_id)
+        return self.push()
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Asks the next peer where one has not answered."""
+        due = [(item, self.wanted[item]) for item in self.timers.pop_due(now)]
+        return [
+            envelope
+            for partner_id, wanted in due
+            for envelope in self._ask_next(partner_id, wanted, now=now)
+        ]
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        return self.timers.next()
+
+    def _want(
+        self, partner_id: PartnerId, generation: Generation, peer: NodeId, *, now: float
+    ) -> list[Envelope]:
+        """Asks a peer, unless another one has been asked for the same."""
+        wanted = self.wanted.get(partner_id)
+        if wanted is not None and wanted.generation >= generation:
+            if len(wanted.sources) < MAX_SOURCES and peer not in wanted.sources:
+                wanted.sources.append(peer)
+            return []
+        self.wanted[partner_id] = _Wanted(generation, deque([peer]))
+        self.timers.set(partner_id, now + DELTA_TIMEOUT_S)
+        return [self.receiver.request(partner_id, peer)]
+
+    def _ask_next(
+        self, partner_id: PartnerId, wanted: _Wanted, *, now: float
+    ) -> list[Envelope]:
+        wanted.sources.rotate(-1)
+        wanted.asks += 1
+        if wanted.asks > MAX_ASKS:
+            del self.wanted[partner_id]
+            return []
+        self.timers.set(partner_id, now + DELTA_TIMEOUT_S)
+        return [self.receiver.request(partner_id, wanted.sources[0])]
--- /dev/null
+++ b/src/bramleydyke/core/drain.py
@@ -0,0 +1,155 @@
+"""Drain orders: from an operator's object to the process that drains.
+
+Lease holders read the operators' objects below ``drains/`` and send each to
+the node that it names until that node acknowledges it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.core.counting import count_refused
+from bramleydyke.core.members import GONE, Members
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import DrainAck, DrainOrder, Envelope
+from bramleydyke.types import Incarnation, MemberState, NodeId
+
+DRAIN_PREFIX = "drains/"
+
+
+class DrainObject(msgspec.Struct, frozen=True):
+    """An operator's wish for one node: JSON at ``drains/<partner>/<name>``."""
+
+    node_id: NodeId
+    """Agent ``agent/<service>/<upstream>`` or balancer ``balancer/<name>``."""
+
+    draining: bool = True
+    """False: the node takes new work again."""
+
+
+def may_drain(partner: str, node_id: NodeId) -> bool:
+    """Tells whether a partner's operators may drain a node.
+
+    A partner drains its own upstreams; balancers are shared, and any partner's
+    operators may drain one, since others take its work.
+    """
+    return node_id.startswith((f"agent/{partner}/", "balancer/"))
+
+
+@dataclass(slots=True, kw_only=True)
+class Fence:
+    """Highest fencing token seen of each lease."""
+
+    tokens: dict[str, int] = field(default_factory=dict)
+
+    def admits(self, lease: str, token: int) -> bool:
+        """Tells whether a message is from the newest holder of a lease."""
+        if token < self.tokens.get(lease, 0):
+            return False
+        self.tokens[lease] = token
+        return True
+
+
+@dataclass(slots=True)
+class _Wish:
+    node_id: NodeId
+    draining: bool
+    version: int
+    acknowledged: Incarnation = Incarnation(-1)
+
+
+@dataclass(slots=True, kw_only=True)
+class DrainOrders:
+    """Drain objects as one lease holder has read them.
+
+    Attributes:
+        wishes: Newest wish at each path.
+    """
+
+    node_id: NodeId
+    members: Members
+    wishes: dict[str, _Wish] = field(default_factory=dict)
+
+    def learn(self, path: str, value: bytes, version: int) -> ErrorKind | None:
+        """Takes a drain object; returns why it is refused, if it is."""
+        try:
+            wanted = msgspec.json.decode(value, type=DrainObject)
+        except msgspec.MsgspecError:
+            return ErrorKind.BAD_REQUEST
+        partner = path.removeprefix(DRAIN_PREFIX).split("/")[0]
+        if not may_drain(partner, wanted.node_id):
+            return ErrorKind.WRONG_PARTNER
+        known = self.wishes.get(path)
+        if known is None or version > known.version:
+            self.wishes[path] = _Wish(wanted.node_id, wanted.draining, version)
+        return None
+
+    def due(self, *, lease: str, token: int) -> list[Envelope]:
+        """Returns the orders that have not been acknowledged."""
+        return [
+            Envelope(
+                self.node_id,
+                wish.node_id,
+                DrainOrder(
+                    draining=wish.draining,
+                    version=wish.version,
+                    path=path,
+                    lease=lease,
+                    token=token,
+                ),
+            )
+            for path, wish in self.wishes.items()
+            if self._open(wish)
+        ]
+
+    def acknowledged(self, sender: NodeId, ack: DrainAck) -> None:
+        """Notes that a run of a node acts on its order."""
+        wish = self.wishes.get(ack.path)
+        if wish is not None and (sender, ack.version) == (wish.node_id, wish.version):
+            wish.acknowledged = ack.incarnation
+
+    def _open(self, wish: _Wish) -> bool:
+        known = self.members.by_node.get(wish.node_id)
+        if known is None or known.state in GONE:
+            return False
+        return wish.acknowledged < known.incarnation
+
+
+@dataclass(slots=True, kw_only=True)
+class DrainState:
+    """Whether one process drains, and on whose behalf.
+
+    Attributes:
+        stopping: Asked by a signal; an operator's undrain leaves it.
+        ordered: Version and content of each drain object that names it.
+    """
+
+    node_id: NodeId
+    incarnation: Incarnation
+    stopping: bool = False
+    ordered: dict[str, tuple[int, bool]] = field(default_factory=dict)
+    fence: Fence = field(default_factory=Fence)
+
+    @property
+    def draining(self) -> bool:
+        """True if the process takes no new work."""
+        return self.stopping or any(wish for _, wish in self.ordered.values())
+
+    @property
+    def state(self) -> MemberState:
+        """The state that the process announces."""
+        return MemberState.DRAINING if self.draining else MemberState.RUNNING
+
+    def order(self, sender: NodeId, order: DrainOrder) -> list[Envelope]:
+        """Takes an operator's order and acknowledges it."""
+        if not self.fence.admits(order.lease, order.token):
+            return [count_refused(self.node_id, ErrorKind.FENCED)]
+        version, _ = self.ordered.get(order.path, (0, False))
+        if order.version > version:
+            self.ordered[order.path] = (order.version, order.draining)
+        ack = DrainAck(
+            path=order.path, version=order.version, incarnation=self.incarnation
+        )
+        return [Envelope(self.node_id, sender, ack)]
--- /dev/null
+++ b/src/bramleydyke/core/lease.py
@@ -0,0 +1,314 @@
+"""A lease: a conditional update with a time limit and a fencing token.
+
+The holder counts its time from before it sent the write, everyone else from
+when it first saw the version, plus a margin. So the holder, who checks its
+own clock before it acts, stops before another one can start.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from automat import TypeMachineBuilder
+
+from bramleydyke.constants import (
+    LEASE_DURATION_S,
+    LEASE_LOOK_S,
+    LEASE_MARGIN_S,
+    LEASE_RENEW_S,
+)
+from bramleydyke.core.platform_calls import FAILED, PlatformCalls, store_backoff
+from bramleydyke.messages import Envelope, PlatformReply
+from bramleydyke.types import AvailabilityZone, Incarnation, NodeId, PlatformStatus
+
+LOOK_JITTER_S = 1.0
+"""Largest random delay before a look, so that candidates do not race."""
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """Content of a lease object."""
+
+    holder: str
+    """Node id; empty after the holder has released the lease."""
+
+    incarnation: Incarnation
+    renewal: int = 0
+    """Number of the write; tells a lost write from the one before it."""
+
+
+class _Inputs(Protocol):
+    """What happens to a lease."""
+
+    def due(self, now: float) -> list[Envelope]:
+        """It is time to look at the lease or to renew it."""
+
+    def vacant(self, now: float) -> list[Envelope]:
+        """A read shows that no other process holds the lease."""
+
+    def foreign(self, now: float) -> list[Envelope]:
+        """A read or a refused write shows that another one holds it."""
+
+    def own(self, now: float) -> list[Envelope]:
+        """This process's last write has taken effect."""
+
+    def lost(self, now: float) -> list[Envelope]:
+        """A write may have taken effect."""
+
+    def failed(self, now: float) -> list[Envelope]:
+        """A call told nothing of the lease."""
+
+    def expire(self, now: float) -> list[Envelope]:
+        """The time of this process's lease has passed."""
+
+    def release(self, now: float) -> list[Envelope]:
+        """This process does not want the lease any more."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Core:
+    """Data of a lease.
+
+    Attributes:
+        version: Version of the object that was seen last.
+        seen_at: When that version was first seen.
+        sent_at: When the last write was sent.
+        expires_at: End of this process's lease by its own clock.
+        next_at: When to look again; None while a call is in flight.
+    """
+
+    path: str
+    record: LeaseRecord
+    calls: PlatformCalls
+    random_source: random.Random
+    version: int = 0
+    seen_at: float = 0.0
+    sent_at: float = 0.0
+    expires_at: float = 0.0
+    next_at: float | None = 0.0
+    failures: int = 0
+    inputs: _Inputs | None = None
+
+    def see(self, version: int, now: float) -> None:
+        """Notes a version of the object."""
+        if version != self.version:
+            self.version = version
+            self.seen_at = now
+
+    def taken(self, reply: PlatformReply, now: float) -> list[Envelope]:
+        """Tells the machine what a read shows."""
+        assert self.inputs is not None
+        if reply.status in FAILED:
+            return self.inputs.failed(now)
+        self.see(reply.version, now)
+        record = _decoded(reply)
+        if record == self.record:
+            return self.inputs.own(now)
+        if record is None or not record.holder or self._earlier(record):
+            return self.inputs.vacant(now)
+        if now - self.seen_at > LEASE_DURATION_S + LEASE_MARGIN_S:
+            return self.inputs.vacant(now)
+        return self.inputs.foreign(now)
+
+    def _earlier(self, record: LeaseRecord) -> bool:
+        """Tells whether a record is of an earlier write of this process."""
+        return (record.holder, record.incarnation) == (
+            self.record.holder,
+            self.record.incarnation,
+        )
+
+    def written(self, reply: PlatformReply, now: float) -> list[Envelope]:
+        """Tells the machine how a write ended."""
+        assert self.inputs is not None
+        if reply.status is PlatformStatus.LOST:
+            return self.inputs.lost(now)
+        if reply.status in FAILED:
+            return self.inputs.failed(now)
+        self.see(reply.version, now)
+        if reply.status is PlatformStatus.OK:
+            return self.inputs.own(now)
+        return self.inputs.foreign(now)
+
+
+def _decoded(reply: PlatformReply) -> LeaseRecord | None:
+    if reply.status is not PlatformStatus.OK or reply.value is None:
+        return None
+    try:
+        return msgspec.json.decode(reply.value, type=LeaseRecord)
+    except msgspec.MsgspecError:
+        return None
+
+
+_builder = TypeMachineBuilder(_Inputs, _Core)
+_idle = _builder.state("idle")
+_reading = _builder.state("reading")
+_writing = _builder.state("writing")
+_held = _builder.state("held")
+_renewing = _builder.state("renewing")
+_checking = _builder.state("checking")
+
+
+def _read(core: _Core, now: float) -> list[Envelope]:
+    core.next_at = None
+    return core.calls.read(core.path, core.taken, now=now)
+
+
+def _write(core: _Core, now: float) -> list[Envelope]:
+    core.next_at = None
+    core.sent_at = now
+    core.record = msgspec.structs.replace(core.record, renewal=core.record.renewal + 1)
+    value = msgspec.json.encode(core.record)
+    return core.calls.write(
+        core.path, value, core.written, expected=core.version, now=now
+    )
+
+
+@_idle.upon(_Inputs.due).to(_reading)
+@_checking.upon(_Inputs.due).to(_checking)
+def _look(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    return _read(core, now)
+
+
+@_reading.upon(_Inputs.vacant).to(_writing)
+@_reading.upon(_Inputs.own).to(_writing)
+@_checking.upon(_Inputs.vacant).to(_writing)
+@_held.upon(_Inputs.due).to(_renewing)
+def _take(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    """Takes or renews the lease, or repeats a write that got lost."""
+    return _write(core, now)
+
+
+@_writing.upon(_Inputs.own).to(_held)
+@_renewing.upon(_Inputs.own).to(_held)
+@_checking.upon(_Inputs.own).to(_held)
+def _hold(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    core.failures = 0
+    core.expires_at = core.sent_at + LEASE_DURATION_S
+    core.next_at = max(now, core.sent_at + LEASE_RENEW_S)
+    return []
+
+
+@_writing.upon(_Inputs.lost).to(_checking)
+@_renewing.upon(_Inputs.lost).to(_checking)
+def _read_back(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    return _read(core, now)
+
+
+@_reading.upon(_Inputs.foreign).to(_idle)
+@_writing.upon(_Inputs.foreign).to(_idle)
+@_renewing.upon(_Inputs.foreign).to(_idle)
+@_checking.upon(_Inputs.foreign).to(_idle)
+def _wait(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    """Looks again when the lease may have run out, with jitter.
+
+    It looks in between too: only from a read of the newest version does the
+    time count after which the lease is free.
+    """
+    core.failures = 0
+    core.expires_at = 0.0
+    free_in = core.seen_at + LEASE_DURATION_S + LEASE_MARGIN_S - now
+    jitter = core.random_source.uniform(0.0, LOOK_JITTER_S)
+    core.next_at = now + min(max(free_in, 0.0), LEASE_LOOK_S) + jitter
+    return []
+
+
+def _back_off(core: _Core, now: float) -> list[Envelope]:
+    delay = store_backoff(core.failures, random_source=core.random_source)
+    core.failures += 1
+    core.next_at = now + delay
+    return []
+
+
+@_reading.upon(_Inputs.failed).to(_idle)
+@_writing.upon(_Inputs.failed).to(_idle)
+@_renewing.upon(_Inputs.failed).to(_held)
+@_checking.upon(_Inputs.failed).to(_checking)
+def _retry(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    return _back_off(core, now)
+
+
+@_held.upon(_Inputs.expire).to(_idle)
+def _expired(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    core.expires_at = 0.0
+    return _back_off(core, now)
+
+
+@_held.upon(_Inputs.release).to(_idle)
+def _released(inputs: _Inputs, core: _Core, now: float) -> list[Envelope]:
+    """Leaves the lease vacant at once; a lost write lets it run out."""
+    core.expires_at = 0.0
+    core.next_at = now + LEASE_DURATION_S + LEASE_MARGIN_S
+    vacant = LeaseRecord(holder="", incarnation=core.record.incarnation)
+    value = msgspec.json.encode(vacant)
+    return core.calls.write(
+        core.path, value, lambda reply, at: [], expected=core.version, now=now
+    )
+
+
+for _state in (_idle, _reading, _writing, _renewing, _checking):
+    _state.upon(_Inputs.release).loop().returns([])
+for _state in (_idle, _reading, _writing, _renewing, _checking):
+    _state.upon(_Inputs.expire).loop().returns([])
+
+_new_machine = _builder.build()
+
+
+class Lease:
+    """One lease slot of a zone, as one balancer sees it.
+
+    Attributes:
+        path: Path of the lease object.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: AvailabilityZone,
+        slot: int,
+        node_id: NodeId,
+        incarnation: Incarnation,
+        calls: PlatformCalls,
+        random_source: random.Random,
+    ) -> None:
+        self.path = f"leases/{zone}/{slot}"
+        self._core = _Core(
+            path=self.path,
+            record=LeaseRecord(holder=node_id, incarnation=incarnation),
+            calls=calls,
+            random_source=random_source,
+        )
+        self._machine = _new_machine(self._core)
+        self._core.inputs = self._machine
+
+    def holding(self, now: float) -> bool:
+        """Tells whether this process holds the lease by its own clock."""
+        return now < self._core.expires_at
+
+    @property
+    def token(self) -> int:
+        """Fencing token: version of the object when it was last written."""
+        return self._core.version
+
+    @property
+    def busy(self) -> bool:
+        """True while a call for the lease is in flight."""
+        return self._core.next_at is None
+
+    def wake(self, *, now: float, wanted: bool) -> list[Envelope]:
+        """Looks at, takes, renews or gives up the lease when it is due.
+
+        Args:
+            now: Time in seconds.
+            wanted: Whether this process should hold the lease.
+        """
+        core = self._core
+        if core.expires_at and now >= core.expires_at:
+            core.expires_at = 0.0
+            self._machine.expire(now)
+        if not wanted:
+            return self._machine.release(now) if self.holding(now) else []
+        if core.next_at is None or now < core.next_at:
+            return []
+        return self._machine.due(now)
--- /dev/null
+++ b/src/bramleydyke/core/member_spread.py
@@ -0,0 +1,171 @@
+"""Spread of announcements among balancers, by news and by comparison.
+
+A change is sent once to a few random peers. What gets lost is repaired when
+two random balancers compare the hashes of their buckets of members.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import (
+    BUCKETS_PER_EXCHANGE,
+    FANOUT,
+    MEMBERS_PER_DELTA,
+    NEWS_PER_FLUSH,
+    SPREAD_DELAY_S,
+)
+from bramleydyke.core.counting import count_refused
+from bramleydyke.core.credentials import Credentials, proven
+from bramleydyke.core.members import Members, precedence, version_rank
+from bramleydyke.core.peers import Peers
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import (
+    Announcement,
+    Envelope,
+    MemberDelta,
+    MemberDigest,
+    MemberSummary,
+    MemberVersion,
+)
+from bramleydyke.types import NodeId
+
+
+def member_deltas(
+    sender: NodeId,
+    receiver: NodeId,
+    announcements: Iterable[Announcement],
+    *,
+    wanted: tuple[NodeId, ...] = (),
+    complete: bool = False,
+) -> list[Envelope]:
+    """Returns announcements in datagrams of bounded size."""
+    items = list(announcements)
+    starts = range(0, max(len(items), 1), MEMBERS_PER_DELTA)
+    parts = [tuple(items[start : start + MEMBERS_PER_DELTA]) for start in starts]
+    complete = complete and len(parts) == 1
+    return [
+        Envelope(
+            sender,
+            receiver,
+            MemberDelta(
+                announcements=part,
+                wanted=wanted if index == 0 else (),
+                complete=complete,
+            ),
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+@dataclass(slots=True, kw_only=True)
+class MemberSpread:
+    """The way of announcements through one balancer.
+
+    Attributes:
+        credentials: Secret of each partner; None accepts any credential.
+        news: Nodes whose announcement has not been spread yet.
+        flush_at: When the news is spread.
+    """
+
+    node_id: NodeId
+    members: Members
+    peers: Peers
+    credentials: Credentials | None
+    news: dict[NodeId, None] = field(default_factory=dict)
+    flush_at: float | None = None
+
+    def learn(self, announcement: Announcement, now: float) -> list[Envelope]:
+        """Takes an announcement if it is proven and newer, to spread it."""
+        known = self.members.by_node.get(announcement.node_id)
+        if known is not None and precedence(known) >= precedence(announcement):
+            return []
+        if not proven(announcement, self.credentials):
+            return [count_refused(self.node_id, ErrorKind.WRONG_PARTNER)]
+        self.members.merge(announcement, now=now)
+        self.renew(announcement.node_id, now=now)
+        return []
+
+    def renew(self, node_id: NodeId, *, now: float) -> None:
+        """Marks a node's announcement as news."""
+        self.news[node_id] = None
+        if self.flush_at is None:
+            self.flush_at = now + SPREAD_DELAY_S
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Spreads the news that is due, a bounded amount at once."""
+        if self.flush_at is None or now < self.flush_at:
+            return []
+        due = list(itertools.islice(self.news, NEWS_PER_FLUSH))
+        for node_id in due:
+            del self.news[node_id]
+        self.flush_at = now + SPREAD_DELAY_S if self.news else None
+        announcements = self._known(due)
+        return [
+            envelope
+            for peer in self.peers.for_news(FANOUT)
+            for envelope in member_deltas(self.node_id, peer, announcements)
+        ]
+
+    def digest(self, peer: NodeId) -> Envelope:
+        """Returns the digest of all members for a peer."""
+        return Envelope(self.node_id, peer, MemberDigest(buckets=self.members.digest()))
+
+    def digested(self, sender: NodeId, digest: MemberDigest) -> list[Envelope]:
+        """Tells a peer what this balancer holds where their digests differ."""
+        differing = self.members.differing(digest.buckets)
+        source = self.peers.random_source
+        chosen = source.sample(differing, min(BUCKETS_PER_EXCHANGE, len(differing)))
+        return [self._summary(sender, bucket) for bucket in chosen]
+
+    def summarised(self, sender: NodeId, summary: MemberSummary) -> list[Envelope]:
+        """Sends what the peer lacks, asks for what this balancer lacks."""
+        if not 0 <= summary.bucket < len(self.members.by_bucket):
+            return []
+        theirs = {
+            item.node_id: version_rank(item.incarnation, item.revision, item.state)
+            for item in summary.versions
+        }
+        own = {
+            item.node_id: item
+            for item in self._known(self.members.by_bucket[summary.bucket])
+        }
+        newer = [
+            item
+            for node_id, item in own.items()
+            if node_id not in theirs or precedence(item) > theirs[node_id]
+        ]
+        wanted = tuple(
+            node_id
+            for node_id, rank in theirs.items()
+            if node_id not in own or rank > precedence(own[node_id])
+        )
+        if not newer and not wanted:
+            return []
+        return member_deltas(self.node_id, sender, newer, wanted=wanted)
+
+    def delta(self, sender: NodeId, delta: MemberDelta, now: float) -> list[Envelope]:
+        """Takes a peer's announcements and sends those that it asks for."""
+        out = [
+            envelope
+            for announcement in delta.announcements
+            for envelope in self.learn(announcement, now)
+        ]
+        asked = self._known(delta.wanted)
+        return out + (member_deltas(self.node_id, sender, asked) if asked else [])
+
+    def _summary(self, peer: NodeId, bucket: int) -> Envelope:
+        versions = tuple(
+            MemberVersion(item.node_id, item.incarnation, item.revision, item.state)
+            for item in self._known(self.members.by_bucket[bucket])
+        )
+        summary = MemberSummary(bucket=bucket, versions=versions)
+        return Envelope(self.node_id, peer, summary)
+
+    def _known(self, node_ids: Iterable[NodeId]) -> list[Announcement]:
+        """Returns announcements made by the nodes themselves or a home."""
+        by_node = self.members.by_node
+        known = (by_node[node_id] for node_id in node_ids if node_id in by_node)
+        return [item for item in known if item.revision >= 0]
--- a/src/bramleydyke/core/members.py
+++ b/src/bramleydyke/core/members.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import msgspec
+from xxhash import xxh3_64_intdigest
 
+from bramleydyke.constants import HEALTH_FLOOR, MEMBER_BUCKETS
 from bramleydyke.messages import Announcement
 from bramleydyke.types import (
+    AvailabilityZone,
     Incarnation,
     MemberState,
     NodeId,
@@ -19,10 +23,20 @@
 
 _STATE_RANK = {
     MemberState.RUNNING: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.DRAINING: 2,
+    MemberState.DRAINING: 1,
+    MemberState.SUSPECT: 2,
     MemberState.STOPPED: 3,
 }
+"""Order of states within one revision: a draining node can be suspected."""
+
+GONE = frozenset({MemberState.SUSPECT, MemberState.STOPPED})
+"""States of nodes that do not take part.
+
+Digests leave them out, so that processes that forget such a node at different
+times do not tell each other of it again.
+"""
+
+_PACKED_BUCKETS = struct.Struct(f"!{MEMBER_BUCKETS}I")
 
 
 def precedence(announcement: Announcement) -> tuple[int, int, int]:
@@ -30,11 +44,32 @@
 
     The node itself raises its revision to overrule a suspicion by others.
     """
-    return (
-        announcement.incarnation,
-        announcement.revision,
-        _STATE_RANK[announcement.state],
+    return version_rank(
+        announcement.incarnation, announcement.revision, announcement.state
+    )
+
+
+def version_rank(
+    incarnation: Incarnation, revision: int, state: MemberState
+) -> tuple[int, int, int]:
+    """Returns the precedence of an announcement with the given version."""
+    return (incarnation, revision, _STATE_RANK[state])
+
+
+def bucket_of(node_id: NodeId) -> int:
+    """Returns the bucket of a node in digests."""
+    return xxh3_64_intdigest(node_id.encode()) % MEMBER_BUCKETS
+
+
+def _version_hash(announcement: Announcement) -> int:
+    """Returns a 32-bit hash of a node's version, 0 if it is gone."""
+    if announcement.state in GONE:
+        return 0
+    version = (
+        f"{announcement.node_id} {announcement.incarnation} "
+        f"{announcement.revision} {announcement.state.value}"
     )
+    return xxh3_64_intdigest(version.encode()) & 0xFFFFFFFF
 
 
 @dataclass(slots=True)
@@ -44,28 +79,49 @@
     Attributes:
         by_node: Newest announcement of each agent and balancer.
         agents: Upstreams announced for each service.
+        balancers: All balancers.
         changed_at: Time at which this process learned each announcement.
+        by_bucket: Nodes in each bucket.
+        bucket_hashes: Exclusive or of the versions in each bucket.
+        balancers_version: Grows with each change of a balancer.
+        version: Grows with each change.
     """
 
     by_node: dict[NodeId, Announcement] = field(default_factory=dict)
     agents: dict[ServiceId, dict[UpstreamId, NodeId]] = field(default_factory=dict)
-
+    balancers: set[NodeId] = field(default_factory=set)
     changed_at: dict[NodeId, float] = field(default_factory=dict)
+    by_bucket: list[set[NodeId]] = field(
+        default_factory=lambda: [set() for _ in range(MEMBER_BUCKETS)]
+    )
+    bucket_hashes: list[int] = field(default_factory=lambda: [0] * MEMBER_BUCKETS)
+    balancers_version: int = 0
+    version: int = 0
+    _hashes: dict[NodeId, int] = field(default_factory=dict)
 
     def merge(self, announcement: Announcement, *, now: float) -> bool:
         """Takes an announcement if it is newer; returns whether it was."""
-        known = self.by_node.get(announcement.node_id)
+        node_id = announcement.node_id
+        known = self.by_node.get(node_id)
         if known is not None and precedence(known) >= precedence(announcement):
             return False
-        self.by_node[announcement.node_id] = announcement
-        self.changed_at[announcement.node_id] = now
+        self.by_node[node_id] = announcement
+        self.changed_at[node_id] = now
+        self._set_hash(node_id, _version_hash(announcement))
+        self.by_bucket[bucket_of(node_id)].add(node_id)
         if announcement.service_id is not None and announcement.upstream_id is not None:
             service = self.agents.setdefault(announcement.service_id, {})
-            service[announcement.upstream_id] = announcement.node_id
+            service[announcement.upstream_id] = node_id
+        else:
+            self.balancers.add(node_id)
+            self.balancers_version += 1
         return True
 
     def observe(self, node_id: NodeId, incarnation: Incarnation) -> None:
-        """Notes an incarnation seen in a reply, ahead of its announcement."""
+        """Notes an incarnation seen in a reply, ahead of its announcement.
+
+        Digests keep the last announced version.
+        """
         known = self.by_node.get(node_id)
         if known is not None and incarnation > known.incarnation:
             self.by_node[node_id] = msgspec.structs.replace(
@@ -75,6 +131,34 @@
                 state=MemberState.RUNNING,
             )
 
+    def forget(self, node_id: NodeId) -> None:
+        """Removes a node."""
+        known = self.by_node.pop(node_id, None)
+        if known is None:
+            return
+        self._set_hash(node_id, 0)
+        del self._hashes[node_id]
+        del self.changed_at[node_id]
+        self.by_bucket[bucket_of(node_id)].discard(node_id)
+        if node_id in self.balancers:
+            self.balancers.discard(node_id)
+            self.balancers_version += 1
+        elif known.service_id is not None and known.upstream_id is not None:
+            service = self.agents[known.service_id]
+            del service[known.upstream_id]
+            if not service:
+                del self.agents[known.service_id]
+
+    def forget_gone(self, *, before: float) -> None:
+        """Removes the nodes that have been gone since a time."""
+        gone = [
+            node_id
+            for node_id, announcement in self.by_node.items()
+            if announcement.state in GONE and self.changed_at[node_id] < before
+        ]
+        for node_id in gone:
+            self.forget(node_id)
+
     def agent(
         self, service_id: ServiceId, upstream_id: UpstreamId
     ) -> Announcement | None:
@@ -93,3 +177,64 @@
         for upstream_id, node_id in self.agents.get(service_id, {}).items():
             if self.by_node[node_id].state in states:
                 yield upstream_id
+
+    def usable(self, service_id: ServiceId) -> list[UpstreamId]:
+        """Returns the upstreams of a service that may take new work.
+
+        When more than ``HEALTH_FLOOR`` of them are suspected, the detector is
+        more likely at fault than they are, and suspicions are disregarded.
+        """
+        running = list(self.upstreams(service_id, MemberState.RUNNING))
+        suspect = list(self.upstreams(service_id, MemberState.SUSPECT))
+        if len(running) < HEALTH_FLOOR * (len(running) + len(suspect)):
+            return running + suspect
+        return running
+
+    def balancers_in(
+        self, *states: MemberState, zone: AvailabilityZone | None = None
+    ) -> list[Announcement]:
+        """Returns the balancers in given states, of one zone or of all."""
+        known = (self.by_node[node_id] for node_id in self.balancers)
+        return [
+            announcement
+            for announcement in known
+            if announcement.state in states
+            and (zone is None or announcement.zone == zone)
+        ]
+
+    def digest(self) -> bytes:
+        """Returns the hashes of all buckets."""
+        return _PACKED_BUCKETS.pack(*self.bucket_hashes)
+
+    def differing(self, digest: bytes) -> list[int]:
+        """Returns the buckets whose hash is not the one in a digest."""
+        if len(digest) != _PACKED_BUCKETS.size:
+            return []
+        theirs = _PACKED_BUCKETS.unpack(digest)
+        pairs = zip(self.bucket_hashes, theirs, strict=True)
+        return [index for index, (own, other) in enumerate(pairs) if own != other]
+
+    def concerning(
+        self, service_id: ServiceId, zone: AvailabilityZone
+    ) -> tuple[int, list[Announcement]]:
+        """Returns what an agent needs to know, and a hash of it.
+
+        These are the agents of its service and the balancers of its zone, or
+        all balancers while the zone has fewer than two.
+        """
+        agents = self.agents.get(service_id, {}).values()
+        present = (MemberState.RUNNING, MemberState.DRAINING)
+        balancers = self.balancers_in(*present, zone=zone)
+        if len(balancers) < 2:
+            balancers = self.balancers_in(*present)
+        nodes = [*agents, *(balancer.node_id for balancer in balancers)]
+        view = 0
+        for node_id in nodes:
+            view ^= self._hashes[node_id]
+        return view, [self.by_node[node_id] for node_id in nodes]
+
+    def _set_hash(self, node_id: NodeId, value: int) -> None:
+        bucket = bucket_of(node_id)
+        self.bucket_hashes[bucket] ^= self._hashes.get(node_id, 0) ^ value
+        self._hashes[node_id] = value
+        self.version += 1
--- /dev/null
+++ b/src/bramleydyke/core/membership.py
@@ -0,0 +1,217 @@
+"""Membership as a balancer keeps it: heartbeats, spread, suspicion."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import (
+    ANTI_ENTROPY_S,
+    FANOUT,
+    HEARTBEAT_S,
+    MEMBER_RETENTION_S,
+)
+from bramleydyke.core.credentials import Credentials
+from bramleydyke.core.home_link import HomeLink
+from bramleydyke.core.member_spread import MemberSpread, member_deltas
+from bramleydyke.core.members import Members
+from bramleydyke.core.peers import Peers
+from bramleydyke.core.suspicion import Suspicion
+from bramleydyke.messages import (
+    Announcement,
+    Envelope,
+    Heartbeat,
+    HeartbeatReply,
+    MemberDelta,
+    SuspectReply,
+)
+from bramleydyke.types import Generation, MemberState, NodeId, PartnerId
+
+FORGET_INTERVAL_S = 30.0
+"""Interval at which members that have been gone for long are removed."""
+
+
+def plain_heartbeat(announcement: Announcement) -> Heartbeat:
+    """Returns the heartbeat of a balancer."""
+    return Heartbeat(
+        incarnation=announcement.incarnation, revision=announcement.revision
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Membership:
+    """Members as one balancer knows and spreads them.
+
+    Attributes:
+        link: Announces this balancer to its own homes.
+        spread: Exchange of announcements with other balancers.
+        suspicion: Nodes that this balancer is a home of.
+        generations: Generation that each agent said it holds.
+    """
+
+    announcement: Announcement
+    members: Members
+    seeds: list[NodeId]
+    credentials: Credentials | None
+    random_source: random.Random
+    peers: Peers = field(init=False)
+    link: HomeLink = field(init=False)
+    spread: MemberSpread = field(init=False)
+    suspicion: Suspicion = field(init=False)
+    generations: dict[NodeId, tuple[PartnerId, Generation]] = field(
+        default_factory=dict
+    )
+    check_at: float | None = None
+    exchange_at: float | None = None
+    forget_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        node_id = self.announcement.node_id
+        self.members.merge(self.announcement, now=0.0)
+        self.peers = Peers(
+            node_id=node_id,
+            members=self.members,
+            seeds=self.seeds,
+            random_source=self.random_source,
+        )
+        self.link = HomeLink(
+            announcement=self.announcement,
+            members=self.members,
+            seeds=self.seeds,
+            heartbeat=plain_heartbeat,
+            random_source=self.random_source,
+        )
+        self.spread = MemberSpread(
+            node_id=node_id,
+            members=self.members,
+            peers=self.peers,
+            credentials=self.credentials,
+        )
+        self.suspicion = Suspicion(
+            node_id=node_id,
+            members=self.members,
+            homes=self.link.home_map,
+            spread=self.spread.learn,
+        )
+
+    def change(self, state: MemberState, *, now: float) -> list[Envelope]:
+        """Announces a new state of this balancer to its homes and peers."""
+        out = self.link.change(state, now=now)
+        own = self.link.announcement
+        return out + [
+            envelope
+            for peer in self.peers.for_news(FANOUT)
+            for envelope in member_deltas(own.node_id, peer, [own])
+        ]
+
+    def announced(
+        self, sender: NodeId, announcement: Announcement, *, now: float
+    ) -> list[Envelope]:
+        """Takes a process's own announcement."""
+        if announcement.node_id == self.announcement.node_id:
+            return []
+        out = self.spread.learn(announcement, now)
+        if self.members.by_node.get(sender) == announcement:
+            self.suspicion.heard(sender, now=now)
+        return out
+
+    def delta(
+        self, sender: NodeId, delta: MemberDelta, *, now: float
+    ) -> list[Envelope]:
+        """Takes a peer's announcements, refutes those about this process."""
+        own_id = self.announcement.node_id
+        out = [
+            envelope
+            for item in delta.announcements
+            if item.node_id == own_id
+            for envelope in self._refuted(item, now=now)
+        ]
+        return out + self.spread.delta(sender, delta, now)
+
+    def heartbeat(
+        self,
+        sender: NodeId,
+        message: Heartbeat,
+        *,
+        generation: Generation,
+        now: float,
+    ) -> list[Envelope]:
+        """Answers a heartbeat with what this balancer knows of the sender.
+
+        Args:
+            sender: Agent or balancer.
+            message: Its heartbeat.
+            generation: Of the sender's partner at this balancer.
+            now: Time in seconds.
+        """
+        known = self.members.by_node.get(sender)
+        own_id = self.announcement.node_id
+        reply = HeartbeatReply(
+            incarnation=message.incarnation if known is None else known.incarnation,
+            revision=0 if known is None else known.revision,
+            state=None if known is None else known.state,
+            generation=generation,
+        )
+        out = [Envelope(own_id, sender, reply)]
+        if known is None or known.incarnation > message.incarnation:
+            return out
+        self.suspicion.heard(sender, now=now)
+        if known.service_id is None or message.partner_id != known.partner_id:
+            return out
+        assert message.partner_id is not None
+        self.generations[sender] = (message.partner_id, message.generation)
+        view, concerning = self.members.concerning(known.service_id, known.zone)
+        if view != message.view:
+            out += member_deltas(own_id, sender, concerning, complete=True)
+        return out
+
+    def confirmed(self, sender: NodeId, reply: SuspectReply, *, now: float) -> None:
+        """Takes the other home's reply to a suspicion."""
+        self.suspicion.confirmed(sender, reply, now=now)
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Sends heartbeats, news and digests, and checks for silence."""
+        out = self.link.wake(now=now) + self.spread.wake(now=now)
+        if self.check_at is None or now >= self.check_at:
+            self.check_at = now + HEARTBEAT_S
+            out += self.suspicion.check(now=now)
+        if now >= self.forget_at:
+            self.forget_at = now + FORGET_INTERVAL_S
+            self._forget(now=now)
+        return out
+
+    def next_wakeup(self) -> float:
+        """Returns when ``wake`` has something to do."""
+        times = (
+            self.link.heartbeat_at,
+            self.check_at,
+            self.exchange_at,
+            self.spread.flush_at,
+        )
+        return min(at for at in times if at is not None)
+
+    def exchange_due(self, *, now: float) -> list[NodeId]:
+        """Returns the peer to compare states with, if it is time to."""
+        if self.exchange_at is None:
+            self.exchange_at = now + self.random_source.uniform(0.0, ANTI_ENTROPY_S)
+            return self.peers.for_news(2)
+        if now < self.exchange_at:
+            return []
+        self.exchange_at = now + ANTI_ENTROPY_S
+        return self.peers.for_exchange()
+
+    def _refuted(self, claim: Announcement, *, now: float) -> list[Envelope]:
+        before = self.link.announcement
+        out = self.link.refute(claim, now=now)
+        if self.link.announcement is not before:
+            self.spread.renew(self.link.announcement.node_id, now=now)
+        return out
+
+    def _forget(self, *, now: float) -> None:
+        self.members.forget_gone(before=now - MEMBER_RETENTION_S)
+        watched = self.suspicion.others
+        self.generations = {
+            node_id: held
+            for node_id, held in self.generations.items()
+            if node_id in watched
+        }
--- /dev/null
+++ b/src/bramleydyke/core/peers.py
@@ -0,0 +1,65 @@
+"""Random choice of the balancers that a balancer exchanges state with."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from bramleydyke.core.members import Members
+from bramleydyke.types import MemberState, NodeId
+
+SEED_SHARE = 0.05
+"""Share of exchanges with a seed.
+
+Two groups of balancers that have forgotten each other find each other again
+through the seeds.
+"""
+
+
+@dataclass(slots=True, kw_only=True)
+class Peers:
+    """Other balancers that one balancer knows.
+
+    Attributes:
+        seeds: Balancers from the settings.
+    """
+
+    node_id: NodeId
+    members: Members
+    seeds: list[NodeId]
+    random_source: random.Random
+    _version: int = -1
+    _present: list[NodeId] = field(default_factory=list)
+    _suspect: list[NodeId] = field(default_factory=list)
+
+    def for_news(self, count: int) -> list[NodeId]:
+        """Returns random balancers that are thought to be alive."""
+        self._refresh()
+        known = self._present or self._others(self.seeds)
+        return self.random_source.sample(known, min(count, len(known)))
+
+    def for_exchange(self) -> list[NodeId]:
+        """Returns one random balancer, suspected ones and seeds included.
+
+        Two sides that suspect each other still repair their tables.
+        """
+        self._refresh()
+        known = self._present + self._suspect
+        if not known or self.random_source.uniform(0.0, 1.0) < SEED_SHARE:
+            known = self._others(self.seeds) or known
+        return self.random_source.sample(known, min(1, len(known)))
+
+    def _others(self, nodes: list[NodeId]) -> list[NodeId]:
+        return [node_id for node_id in nodes if node_id != self.node_id]
+
+    def _refresh(self) -> None:
+        if self._version == self.members.balancers_version:
+            return
+        self._version = self.members.balancers_version
+        present = (MemberState.RUNNING, MemberState.DRAINING)
+        self._present = self._in_state(*present)
+        self._suspect = self._in_state(MemberState.SUSPECT)
+
+    def _in_state(self, *states: MemberState) -> list[NodeId]:
+        known = self.members.balancers_in(*states)
+        return sorted(self._others([item.node_id for item in known]))
--- /dev/null
+++ b/src/bramleydyke/core/status.py
@@ -0,0 +1,182 @@
+"""State in force of a zone, written for operators by a lease holder."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import STATUS_NAMES
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.members import GONE, Members
+from bramleydyke.messages import StatusReply
+from bramleydyke.types import (
+    AvailabilityZone,
+    Generation,
+    MemberState,
+    NodeId,
+    PartnerId,
+)
+
+Names = dict[str, float]
+"""Upstreams as ``service/upstream``, and for how many seconds."""
+
+
+class PartnerStatus(msgspec.Struct, frozen=True):
+    """A partner's state in one zone."""
+
+    generation: Generation
+    """Newest generation that the writer knows."""
+
+    balancers: dict[Generation, int]
+    """Balancers of the zone that hold each generation."""
+
+    agents: dict[Generation, int]
+    """Agents of the zone that hold each generation."""
+
+    in_force: bool
+    """True if all of them hold the newest generation."""
+
+    for_s: float
+    """Since when, in seconds before the write."""
+
+    announced: int
+    """Declared upstreams of the zone whose agents run."""
+
+    missing: Names
+    draining: Names
+    suspect: Names
+    undeclared: Names
+    """Upstreams that are announced but not in the sheet; they get no work."""
+
+
+class ZoneStatus(msgspec.Struct, frozen=True):
+    """Content of ``status/<zone>``, as JSON."""
+
+    zone: AvailabilityZone
+    writer: NodeId
+    token: int
+    """Fencing token of the writer's lease."""
+
+    balancers: int
+    """Balancers of the zone that were asked."""
+
+    replied: int
+    """Balancers of the zone that answered in time."""
+
+    partners: dict[PartnerId, PartnerStatus]
+
+
+def stripped(status: ZoneStatus) -> ZoneStatus:
+    """Returns a status without times and writer, to tell if it changed."""
+    partners = {
+        partner_id: msgspec.structs.replace(
+            item,
+            for_s=0.0,
+            **{
+                name: dict.fromkeys(getattr(item, name), 0.0)
+                for name in ("missing", "draining", "suspect", "undeclared")
+            },
+        )
+        for partner_id, item in status.partners.items()
+    }
+    return msgspec.structs.replace(
+        status, writer=NodeId(""), token=0, replied=0, partners=partners
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class StatusTotals:
+    """Computes a zone's status from what one balancer knows.
+
+    Attributes:
+        since: Time at which each condition was first seen.
+    """
+
+    zone: AvailabilityZone
+    members: Members
+    config: ConfigStore
+    since: dict[tuple[PartnerId, str, str], float] = field(default_factory=dict)
+
+    def partner(
+        self, partner_id: PartnerId, replies: Iterable[StatusReply], *, now: float
+    ) -> PartnerStatus:
+        """Returns a partner's status from the balancers' replies."""
+        replies = list(replies)
+        newest = self.config.generation(partner_id)
+        balancers = Counter(
+            reply.generations.get(partner_id, Generation(0)) for reply in replies
+        )
+        agents: Counter[Generation] = Counter()
+        for reply in replies:
+            agents.update(reply.agents.get(partner_id, {}))
+        in_force = not (balancers.keys() | agents.keys()) - {newest}
+        force = "in force" if in_force else "spreading"
+        since = self._ages(partner_id, "generation", {f"{newest} {force}"}, now=now)
+        return PartnerStatus(
+            generation=newest,
+            balancers=dict(balancers),
+            agents=dict(agents),
+            in_force=in_force,
+            for_s=min(since.values()),
+            announced=sum(1 for _ in self._names(partner_id, "running")),
+            missing=self._aged(partner_id, "missing", now=now),
+            draining=self._aged(partner_id, "draining", now=now),
+            suspect=self._aged(partner_id, "suspect", now=now),
+            undeclared=self._aged(partner_id, "undeclared", now=now),
+        )
+
+    def _aged(self, partner_id: PartnerId, condition: str, *, now: float) -> Names:
+        names = itertools.islice(self._names(partner_id, condition), STATUS_NAMES)
+        return self._ages(partner_id, condition, set(names), now=now)
+
+    def _ages(
+        self, partner_id: PartnerId, condition: str, names: set[str], *, now: float
+    ) -> Names:
+        """Returns for how long each name has been in a condition."""
+        ended = [
+            key
+            for key in self.since
+            if key[:2] == (partner_id, condition) and key[2] not in names
+        ]
+        for key in ended:
+            del self.since[key]
+        return {
+            name: round(
+                now - self.since.setdefault((partner_id, condition, name), now), 3
+            )
+            for name in sorted(names)
+        }
+
+    def _names(self, partner_id: PartnerId, condition: str) -> Iterator[str]:
+        """Yields the zone's upstreams of a partner in a condition."""
+        if condition == "undeclared":
+            return self._undeclared(partner_id)
+        return (
+            name for name, state in self._declared(partner_id) if state == condition
+        )
+
+    def _declared(self, partner_id: PartnerId) -> Iterator[tuple[str, str]]:
+        for service in self.config.services.values():
+            if service.partner_id != partner_id or service.deleted:
+                continue
+            for spec in service.upstreams:
+                if spec.zone != self.zone:
+                    continue
+                known = self.members.agent(service.service_id, spec.upstream_id)
+                missing = known is None or known.state is MemberState.STOPPED
+                state = "missing" if missing else known.state.value
+                yield f"{service.service_id}/{spec.upstream_id}", state
+
+    def _undeclared(self, partner_id: PartnerId) -> Iterator[str]:
+        for service_id, upstreams in self.members.agents.items():
+            service = self.config.service(service_id)
+            declared = {} if service is None else service.weights()
+            for upstream_id, node_id in upstreams.items():
+                known = self.members.by_node[node_id]
+                own = known.partner_id == partner_id and known.zone == self.zone
+                if own and known.state not in GONE and upstream_id not in declared:
+                    yield f"{service_id}/{upstream_id}"
--- /dev/null
+++ b/src/bramleydyke/core/status_writer.py
@@ -0,0 +1,237 @@
+"""Collects a zone's status and writes it at a bounded rate."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import (
+    STATUS_BURST,
+    STATUS_CHANGED_S,
+    STATUS_COLLECT_S,
+    STATUS_LOOK_S,
+    STATUS_UNCHANGED_S,
+)
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.counting import count_refused
+from bramleydyke.core.drain import Fence
+from bramleydyke.core.lease import Lease
+from bramleydyke.core.membership import Membership
+from bramleydyke.core.platform_calls import FAILED
+from bramleydyke.core.status import StatusTotals, ZoneStatus, stripped
+from bramleydyke.core.watcher import Watcher
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import Envelope, PlatformReply, StatusQuery, StatusReply
+from bramleydyke.types import (
+    Generation,
+    MemberState,
+    NodeId,
+    PartnerId,
+    PlatformStatus,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class StatusWriter:
+    """Writes ``status/<zone>`` while this balancer is the zone's first holder.
+
+    The holder of slot 1 writes only if the object has not changed for two
+    unchanged intervals, since slot 0 is then vacant.
+
+    Attributes:
+        replies: Answers of the zone's balancers to the current query.
+        version: Version of the object that was seen last.
+        written_at: When this balancer last wrote the object.
+        credit: Writes that the rate limit allows now.
+        moved_at: When it last saw that another one has written it.
+    """
+
+    membership: Membership
+    config: ConfigStore
+    watcher: Watcher
+    partners: Iterable[PartnerId]
+    totals: StatusTotals = field(init=False)
+    fence: Fence = field(default_factory=Fence)
+    replies: dict[NodeId, StatusReply] = field(default_factory=dict)
+    asked: int = 0
+    ask_at: float | None = None
+    collect_at: float | None = None
+    version: int = 0
+    written: ZoneStatus | None = None
+    written_at: float = -math.inf
+    moved_at: float = -math.inf
+    credit: float = STATUS_BURST
+    earned_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.totals = StatusTotals(
+            zone=self.membership.announcement.zone,
+            members=self.membership.members,
+            config=self.config,
+        )
+
+    def queried(self, sender: NodeId, query: StatusQuery) -> list[Envelope]:
+        """Answers with the generations held here and by this one's agents."""
+        own = self.membership.announcement.node_id
+        if not self.fence.admits(query.lease, query.token):
+            return [count_refused(own, ErrorKind.FENCED)]
+        return [Envelope(own, sender, self._share())]
+
+    def replied(self, sender: NodeId, reply: StatusReply) -> list[Envelope]:
+        """Takes a balancer's answer."""
+        if self.collect_at is not None:
+            self.replies[sender] = reply
+        return []
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Asks the zone's balancers; writes when they had time to answer."""
+        lease = self.watcher.held(now)
+        if lease is None:
+            self.ask_at = self.collect_at = None
+            return []
+        if self.ask_at is None:
+            self.ask_at = now + STATUS_LOOK_S
+        if self.collect_at is not None and now >= self.collect_at:
+            self.collect_at = None
+            return self._look(lease, now=now)
+        if self.collect_at is None and now >= self.ask_at:
+            first = lease is self.watcher.leases[0]
+            self.ask_at = now + (STATUS_LOOK_S if first else STATUS_UNCHANGED_S)
+            self.collect_at = now + STATUS_COLLECT_S
+            return self._ask(lease)
+        return []
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        if not self.watcher.holding(now):
+            return None
+        return self.ask_at if self.collect_at is None else self.collect_at
+
+    def _ask(self, lease: Lease) -> list[Envelope]:
+        own = self.membership.announcement
+        self.replies = {own.node_id: self._share()}
+        peers = [
+            item.node_id
+            for item in self.membership.members.balancers_in(
+                MemberState.RUNNING, MemberState.DRAINING, zone=own.zone
+            )
+            if item.node_id != own.node_id
+        ]
+        self.asked = len(peers) + 1
+        query = StatusQuery(lease=lease.path, token=lease.token)
+        return [Envelope(own.node_id, peer, query) for peer in peers]
+
+    def _share(self) -> StatusReply:
+        """Returns this balancer's generations and those of its agents.
+
+        Only the first home of an agent counts it.
+        """
+        own = self.membership.announcement.node_id
+        members = self.membership.members
+        agents: dict[PartnerId, Counter[Generation]] = {}
+        for node_id, held in self.membership.generations.items():
+            known = members.by_node.get(node_id)
+            if known is None or known.state not in (
+                MemberState.RUNNING,
+                MemberState.DRAINING,
+            ):
+                continue
+            homes = self.membership.link.home_map.homes(node_id, known.zone)
+            if homes[:1] == [own]:
+                partner_id, generation = held
+                agents.setdefault(partner_id, Counter())[generation] += 1
+        return StatusReply(
+            generations=dict(self.config.generations),
+            agents={partner_id: dict(held) for partner_id, held in agents.items()},
+        )
+
+    def _look(self, lease: Lease, *, now: float) -> list[Envelope]:
+        status = self._status(lease, now=now)
+        before = None if self.written is None else stripped(self.written)
+        changed = before != stripped(status)
+        self._refill(now)
+        if (
+            self.credit < 1
+            or not changed
+            and now - self.written_at < (STATUS_UNCHANGED_S)
+        ):
+            return []
+        first = lease is self.watcher.leases[0]
+        if self.version and first:
+            return self._write(status, now=now)
+
+        def read(reply: PlatformReply, at: float) -> list[Envelope]:
+            return self._read(status, reply, at, first=first)
+
+        return self.watcher.calls.read(self._path, read, now=now)
+
+    def _read(
+        self, status: ZoneStatus, reply: PlatformReply, now: float, *, first: bool
+    ) -> list[Envelope]:
+        """Writes after the version is known, unless slot 0 writes."""
+        lease = self.watcher.held(now)
+        if reply.status in FAILED or lease is None:
+            self._pause(now)
+            return []
+        moved = reply.version != self.version
+        self.version = reply.version
+        if not first and reply.version:
+            if moved:
+                self.moved_at = now
+            if now - self.moved_at < 2 * STATUS_UNCHANGED_S:
+                return []
+        return self._write(status, now=now)
+
+    def _refill(self, now: float) -> None:
+        earned = max(0.0, now - self.earned_at) / STATUS_CHANGED_S
+        self.earned_at = now
+        self.credit = min(STATUS_BURST, self.credit + earned)
+
+    def _write(self, status: ZoneStatus, *, now: float) -> list[Envelope]:
+        self.credit -= 1
+
+        def done(reply: PlatformReply, at: float) -> list[Envelope]:
+            if reply.status is PlatformStatus.OK:
+                self.written = status
+                self.version = reply.version
+                self.written_at = at
+            else:
+                self.version = 0
+                self._pause(at)
+            return []
+
+        return self.watcher.calls.write(
+            self._path,
+            msgspec.json.encode(status),
+            done,
+            expected=self.version,
+            now=now,
+        )
+
+    def _pause(self, now: float) -> None:
+        """Waits after a failed call; the next one reads the object first."""
+        jitter = self.watcher.random_source.uniform(0.5, 1.0)
+        self.ask_at = now + jitter * STATUS_CHANGED_S
+
+    def _status(self, lease: Lease, *, now: float) -> ZoneStatus:
+        own = self.membership.announcement
+        replies = self.replies.values()
+        return ZoneStatus(
+            zone=own.zone,
+            writer=own.node_id,
+            token=lease.token,
+            balancers=self.asked,
+            replied=len(self.replies),
+            partners={
+                partner_id: self.totals.partner(partner_id, replies, now=now)
+                for partner_id in self.partners
+            },
+        )
+
+    @property
+    def _path(self) -> str:
+        return f"status/{self.membership.announcement.zone}"
--- /dev/null
+++ b/src/bramleydyke/core/suspicion.py
@@ -0,0 +1,154 @@
+"""Suspicion of silent nodes by their home balancers.
+
+A home suspects a node that has been silent for ``SUSPECT_AFTER_S`` and asks
+the node's other home. Only if that one has not heard from it either is the
+node announced as suspect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import HEALTH_FLOOR, HEARTBEAT_S, SUSPECT_AFTER_S
+from bramleydyke.core.counting import count
+from bramleydyke.core.homes import HomeMap
+from bramleydyke.core.members import GONE, Members
+from bramleydyke.messages import Announcement, Envelope, SuspectQuery, SuspectReply
+from bramleydyke.types import MemberState, NodeId
+
+FEW_NODES = 3
+"""Below this number a share of silent nodes says nothing of the detector."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """The nodes that one balancer is a home of.
+
+    Attributes:
+        spread: Takes and spreads an announcement.
+        heard_at: Last sign of life of each watched node, in seconds.
+        checked_at: Time of the last check.
+    """
+
+    node_id: NodeId
+    members: Members
+    homes: HomeMap
+    spread: Callable[[Announcement, float], object]
+    heard_at: dict[NodeId, float] = field(default_factory=dict)
+    others: dict[NodeId, list[NodeId]] = field(default_factory=dict)
+    """Other homes of each watched node."""
+
+    checked_at: float | None = None
+    blind: bool = False
+    """True while so many nodes are silent that this balancer is at fault."""
+
+    _version: int = -1
+
+    def heard(self, node_id: NodeId, *, now: float) -> None:
+        """Notes a sign of life."""
+        self.heard_at[node_id] = now
+
+    def check(self, *, now: float) -> list[Envelope]:
+        """Looks for silent nodes and asks their other homes."""
+        self._forgive_pause(now=now)
+        self._watch(now=now)
+        watched = [item for item in self.others if self._present(item)]
+        silent = [item for item in watched if self.silent(item, now=now)]
+        self.blind = len(watched) >= FEW_NODES and (
+            len(silent) > HEALTH_FLOOR * len(watched)
+        )
+        if self.blind:
+            return [count(self.node_id, "suspicion.blind")]
+        return [out for item in silent for out in self._ask(item, now=now)]
+
+    def silent(self, node_id: NodeId, *, now: float) -> bool:
+        """Tells whether a node has not been heard of for too long."""
+        heard_at = self.heard_at.get(node_id)
+        return heard_at is not None and now - heard_at > SUSPECT_AFTER_S
+
+    def queried(
+        self, sender: NodeId, query: SuspectQuery, *, now: float
+    ) -> list[Envelope]:
+        """Tells another home whether a node is silent here too."""
+        paused = self.checked_at is None or now - self.checked_at > SUSPECT_AFTER_S
+        watched = query.node_id in self.others and not paused and not self.blind
+        silent = watched and self.silent(query.node_id, now=now)
+        reply = SuspectReply(
+            node_id=query.node_id,
+            incarnation=query.incarnation,
+            revision=query.revision,
+            silent=silent,
+        )
+        return [Envelope(self.node_id, sender, reply)]
+
+    def confirmed(self, sender: NodeId, reply: SuspectReply, *, now: float) -> None:
+        """Spreads a suspicion that the other home shares."""
+        if not reply.silent or self.blind:
+            return
+        known = self.members.by_node.get(reply.node_id)
+        same = known is not None and (known.incarnation, known.revision) == (
+            reply.incarnation,
+            reply.revision,
+        )
+        asked = sender in self.others.get(reply.node_id, ())
+        if same and asked and self.silent(reply.node_id, now=now):
+            self._suspect(reply.node_id, now=now)
+
+    def _ask(self, node_id: NodeId, *, now: float) -> Iterable[Envelope]:
+        known = self.members.by_node[node_id]
+        others = self.others[node_id]
+        if not others:
+            self._suspect(node_id, now=now)
+            return []
+        query = SuspectQuery(
+            node_id=node_id, incarnation=known.incarnation, revision=known.revision
+        )
+        return [Envelope(self.node_id, other, query) for other in others]
+
+    def _suspect(self, node_id: NodeId, *, now: float) -> None:
+        known = self.members.by_node[node_id]
+        suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
+        self.spread(suspect, now)
+
+    def _present(self, node_id: NodeId) -> bool:
+        known = self.members.by_node.get(node_id)
+        return known is not None and known.state not in GONE
+
+    def _forgive_pause(self, *, now: float) -> None:
+        """Counts no silence over a time in which this process did not run."""
+        last = self.checked_at
+        self.checked_at = now
+        if last is not None and now - last > HEARTBEAT_S + SUSPECT_AFTER_S / 2:
+            self.heard_at = dict.fromkeys(self.heard_at, now)
+
+    def _watch(self, *, now: float) -> None:
+        """Finds the nodes that this balancer is a home of.
+
+        A node that it newly becomes a home of gets twice the time, since it
+        learns of its new home only with a reply of another one.
+        """
+        if self._version == self.members.version:
+            return
+        self._version = self.members.version
+        self.others = {
+            node_id: [home for home in homes if home != self.node_id]
+            for node_id, homes in self._homes_of_candidates()
+            if self.node_id in homes
+        }
+        fresh = now + SUSPECT_AFTER_S
+        self.heard_at = {
+            node_id: self.heard_at.get(node_id, fresh) for node_id in self.others
+        }
+
+    def _homes_of_candidates(self) -> Iterable[tuple[NodeId, list[NodeId]]]:
+        own = self.members.by_node[self.node_id]
+        thin = self.homes.thin_zones()
+        for node_id, known in self.members.by_node.items():
+            if node_id == self.node_id or known.state in GONE:
+                continue
+            near = known.zone == own.zone or known.zone in thin
+            if near or not self.homes.has_balancers(known.zone):
+                yield node_id, self.homes.homes(node_id, known.zone)
--- /dev/null
+++ b/src/bramleydyke/core/watcher.py
@@ -0,0 +1,226 @@
+"""Watches the platform while this balancer holds a lease of its zone."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import (
+    DRAIN_RESEND_S,
+    LEASE_CANDIDATES,
+    WATCHERS_PER_ZONE,
+)
+from bramleydyke.core.config import PartnerConfig
+from bramleydyke.core.counting import count_refused
+from bramleydyke.core.drain import DRAIN_PREFIX, DrainOrders
+from bramleydyke.core.homes import ranked
+from bramleydyke.core.lease import Lease
+from bramleydyke.core.members import Members
+from bramleydyke.core.platform_calls import PlatformCalls, store_backoff
+from bramleydyke.core.watch import Watch
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import Announcement, DrainAck, Envelope, PlatformReply
+from bramleydyke.types import MemberState, NodeId, PartnerId
+
+LOOK_S = 1.0
+"""Interval at which a balancer looks whether a lease is due."""
+
+FIRST_LOOK_S = (1.0, 2.0)
+"""Range of the delay before the first look.
+
+A balancer that knows no other one of its zone would take all leases.
+"""
+
+NewConfig = Callable[[PartnerConfig, float], list[Envelope]]
+"""Takes a configuration that the platform holds, and the time."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Watcher:
+    """Leases of a zone and the watches of their holder.
+
+    Attributes:
+        own: This balancer's announcement.
+        partners: Partners whose sheets are watched.
+        new_config: Takes a sheet into force and spreads it.
+        leases: One for each slot of the zone.
+        orders: Operators' drain objects.
+    """
+
+    own: Announcement
+    members: Members
+    partners: Iterable[PartnerId]
+    new_config: NewConfig
+    random_source: random.Random
+    calls: PlatformCalls = field(init=False)
+    leases: list[Lease] = field(init=False)
+    watches: list[Watch] = field(init=False)
+    orders: DrainOrders = field(init=False)
+    enabled: bool = True
+    look_at: float | None = None
+    resend_at: float = 0.0
+    _drain_versions: dict[str, int] = field(default_factory=dict)
+    _unread: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.calls = PlatformCalls(node_id=self.own.node_id)
+        self.orders = DrainOrders(node_id=self.own.node_id, members=self.members)
+        self.leases = [
+            Lease(
+                zone=self.own.zone,
+                slot=slot,
+                node_id=self.own.node_id,
+                incarnation=self.own.incarnation,
+                calls=self.calls,
+                random_source=self.random_source,
+            )
+            for slot in range(WATCHERS_PER_ZONE)
+        ]
+        self.watches = [self._sheet_watch(partner_id) for partner_id in self.partners]
+        if self.watches:
+            self.watches.append(self._watch(DRAIN_PREFIX, self._drains_changed))
+
+    def held(self, now: float) -> Lease | None:
+        """Returns a lease that this balancer holds, slot 0 first."""
+        return next((lease for lease in self.leases if lease.holding(now)), None)
+
+    def holding(self, now: float) -> bool:
+        """Tells whether this balancer may act as a watcher."""
+        return self.held(now) is not None
+
+    def acknowledged(self, sender: NodeId, ack: DrainAck) -> list[Envelope]:
+        """Takes a node's acknowledgement of a drain order."""
+        self.orders.acknowledged(sender, ack)
+        return []
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Keeps the leases, the watches and the drain orders going."""
+        if not self.watches:
+            return []
+        out = self.calls.wake(now=now)
+        if self.look_at is None:
+            self.look_at = now + self.random_source.uniform(*FIRST_LOOK_S)
+        if now >= self.look_at:
+            self.look_at = now + LOOK_S
+            out += self._look(now=now)
+        lease_held = self.held(now)
+        if lease_held is None:
+            return out
+        out += [item for watch in self.watches for item in watch.wake(now=now)]
+        if now >= self.resend_at:
+            self.resend_at = now + DRAIN_RESEND_S
+            out += self._orders(lease_held)
+        return out
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        if not self.watches:
+            return None
+        times = [self.look_at, self.calls.next_wakeup()]
+        if self.holding(now):
+            times += [watch.next_at for watch in self.watches]
+            times.append(self.resend_at if self.orders.wishes else None)
+        return min(at for at in times if at is not None)
+
+    def _look(self, *, now: float) -> list[Envelope]:
+        """Wakes the leases; reads drain objects whose last read failed."""
+        out = [
+            envelope
+            for slot, lease in enumerate(self.leases)
+            for envelope in lease.wake(now=now, wanted=self._wanted(slot, now=now))
+        ]
+        due = [path for path, at in self._unread.items() if at <= now]
+        for path in due:
+            del self._unread[path]
+        return out + [item for path in due for item in self._read_drain(path, now=now)]
+
+    def _orders(self, lease: Lease) -> list[Envelope]:
+        return self.orders.due(lease=lease.path, token=lease.token)
+
+    def _watch(
+        self, path: str, changed: Callable[[PlatformReply, float], list[Envelope]]
+    ) -> Watch:
+        return Watch(
+            path=path,
+            calls=self.calls,
+            changed=changed,
+            active=self.holding,
+            random_source=self.random_source,
+        )
+
+    def _wanted(self, slot: int, *, now: float) -> bool:
+        """Tells whether this balancer should look at or keep a lease.
+
+        A few balancers of the zone look for a vacant lease, so that the calls
+        do not grow with the zone. One balancer keeps one slot, unless it is
+        alone.
+        """
+        if not self.enabled:
+            return False
+        running = [
+            item.node_id
+            for item in self.members.balancers_in(
+                MemberState.RUNNING, zone=self.own.zone
+            )
+        ]
+        lease, held = self.leases[slot], self.held(now)
+        other_busy = any(item.busy for item in self.leases if item is not lease)
+        if held is None and other_busy:
+            return False
+        if held is not None and held is not lease and len(running) > 1:
+            return False
+        first = ranked(lease.path, running, count=LEASE_CANDIDATES)
+        return held is lease or self.own.node_id in first
+
+    def _sheet_watch(self, partner_id: PartnerId) -> Watch:
+        def changed(reply: PlatformReply, now: float) -> list[Envelope]:
+            return self._sheet_changed(partner_id, reply, now)
+
+        return self._watch(f"sheets/{partner_id}", changed)
+
+    def _sheet_changed(
+        self, partner_id: PartnerId, reply: PlatformReply, now: float
+    ) -> list[Envelope]:
+        try:
+            config = msgspec.json.decode(reply.value or b"", type=PartnerConfig)
+        except msgspec.MsgspecError:
+            return [count_refused(self.own.node_id, ErrorKind.BAD_SHEET)]
+        if config.partner_id != partner_id:
+            return [count_refused(self.own.node_id, ErrorKind.WRONG_PARTNER)]
+        return self.new_config(config, now)
+
+    def _drains_changed(self, reply: PlatformReply, now: float) -> list[Envelope]:
+        """Reads the drain objects below the prefix that have changed."""
+        try:
+            versions = msgspec.json.decode(reply.value or b"", type=dict[str, int])
+        except msgspec.MsgspecError:
+            return [count_refused(self.own.node_id, ErrorKind.BAD_REQUEST)]
+        changed = [
+            path
+            for path, version in versions.items()
+            if version > self._drain_versions.get(path, 0)
+        ]
+        return [item for path in changed for item in self._read_drain(path, now=now)]
+
+    def _read_drain(self, path: str, *, now: float) -> list[Envelope]:
+        def read(reply: PlatformReply, at: float) -> list[Envelope]:
+            return self._drain_read(path, reply, at)
+
+        return self.calls.read(path, read, now=now)
+
+    def _drain_read(
+        self, path: str, reply: PlatformReply, now: float
+    ) -> list[Envelope]:
+        lease = self.held(now)
+        if lease is None or reply.value is None:
+            wait = store_backoff(0, random_source=self.random_source)
+            self._unread[path] = now + wait
+            return []
+        self._drain_versions[path] = reply.version
+        refused = self.orders.learn(path, reply.value, reply.version)
+        if refused is not None:
+            return [count_refused(self.own.node_id, refused)]
+        return self._orders(lease)
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -239,6 +239,140 @@
     """Proof that the announcement is made for the partner."""
 
 
+class Heartbeat(Message):
+    """An announced process tells a home balancer that it is alive."""
+
+    incarnation: Incarnation
+    revision: int
+    view: int = 0
+    """Hash of the agents and balancers that an agent knows."""
+
+    partner_id: PartnerId | None = None
+    generation: Generation = Generation(0)
+    """Generation of its partner that an agent has in force."""
+
+
+class HeartbeatReply(Message):
+    """What a home balancer knows of the sender of a heartbeat."""
+
+    incarnation: Incarnation
+    revision: int
+    state: MemberState | None
+    """None: the balancer does not know the sender."""
+
+    generation: Generation = Generation(0)
+    """Generation of the agent's partner at the balancer."""
+
+
+class MemberDigest(Message):
+    """Hash of the members in each bucket, 4 bytes a bucket."""
+
+    buckets: bytes
+
+
+class MemberVersion(msgspec.Struct, frozen=True, array_like=True):
+    """Which announcement of a node a process holds."""
+
+    node_id: NodeId
+    incarnation: Incarnation
+    revision: int
+    state: MemberState
+
+
+class MemberSummary(Message):
+    """The announcements that a process holds in one bucket."""
+
+    bucket: int
+    versions: tuple[MemberVersion, ...]
+
+
+class MemberDelta(Message):
+    """Announcements that the receiver may lack."""
+
+    announcements: tuple[Announcement, ...]
+    wanted: tuple[NodeId, ...] = ()
+    """Nodes whose announcement the sender lacks."""
+
+    complete: bool = False
+    """True: all members that concern the receiving agent."""
+
+
+class SuspectQuery(Message):
+    """Asks the other home balancer whether a node is silent there too."""
+
+    node_id: NodeId
+    incarnation: Incarnation
+    revision: int
+
+
+class SuspectReply(Message):
+    """Reply to ``SuspectQuery``."""
+
+    node_id: NodeId
+    incarnation: Incarnation
+    revision: int
+    silent: bool
+
+
+# Configuration dissemination; ``ConfigDelta`` is in ``core.config``.
+
+
+class ConfigDigest(Message):
+    """Newest generation of each partner at the sender."""
+
+    generations: dict[PartnerId, Generation]
+    reply: bool = False
+    """True: an answer to a digest, which needs no answer itself."""
+
+
+class DeltaRequest(Message):
+    """Asks for the entries that changed after a generation."""
+
+    partner_id: PartnerId
+    base: Generation
+    service_id: ServiceId | None = None
+    """Only this service, for an agent; None: all services."""
+
+
+# Drain and status; sent by the holder of a lease with its fencing token.
+
+
+class DrainOrder(Message):
+    """An operator's drain object as a lease holder read it."""
+
+    draining: bool
+    version: int
+    """Version of the drain object; older orders are ignored."""
+
+    path: str
+    """Path of the drain object."""
+
+    lease: str
+    token: int
+
+
+class DrainAck(Message):
+    """The receiver of a drain order acts on it."""
+
+    path: str
+    version: int
+    incarnation: Incarnation
+
+
+class StatusQuery(Message):
+    """Asks a balancer of the zone for its share of the zone's status."""
+
+    lease: str
+    token: int
+
+
+class StatusReply(Message):
+    """Generations that a balancer and the agents it is home of hold."""
+
+    generations: dict[PartnerId, Generation]
+    agents: dict[PartnerId, dict[Generation, int]]
+
+
 class Count(Message):
     """Adds to a counter."""
 
@@ -268,7 +402,13 @@
 
 
 class PlatformRead(Message):
-    """Reads an object, or waits until its version is above ``after``."""
+    """Reads an object, or waits until its version is above ``after``.
+
+    A path that ends in ``/`` is a prefix: the value is then a JSON object of
+    the paths below it and their versions, and the version is the highest of
+    them. A wait that ends without a change is answered ``OK`` with an
+    unchanged version and no value.
+    """
 
     call: int
     """Chosen by the role, echoed in the reply."""
--- /dev/null
+++ b/tests/unit/test_dissemination.py
@@ -0,0 +1,130 @@
+"""Dissemination of the configuration: order, loss, parts, reduced deltas."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from control_fixture import PARTNER, SERVICE, Deployment, service
+
+from bramleydyke.core.config import (
+    ConfigDelta,
+    ConfigStore,
+    PartnerConfig,
+    full_delta,
+    next_config,
+)
+from bramleydyke.core.config_parts import ConfigReceiver, split_delta
+from bramleydyke.core.dissemination import MAX_ASKS, Dissemination
+from bramleydyke.messages import ConfigDigest, DeltaRequest
+from bramleydyke.types import Generation, NodeId, ServiceId
+
+PEER, OTHER = NodeId("balancer/p"), NodeId("balancer/q")
+
+
+def history(length: int) -> list[PartnerConfig]:
+    configs = [PartnerConfig(PARTNER)]
+    for weight in range(1, length + 1):
+        wanted = [service(float(weight))]
+        configs.append(next_config(configs[-1], wanted, change_id=str(weight)))
+    return configs
+
+
+def dissemination() -> Dissemination:
+    return Dissemination(
+        node_id=NodeId("balancer/a"), config=ConfigStore(), peers=lambda count: [PEER]
+    )
+
+
+def test_older_generation_never_comes_back() -> None:
+    """Guards against an old copy or a late message undoing a change."""
+    configs = history(3)
+    node = dissemination()
+    node.take(PEER, full_delta(configs[3]), now=0.0)
+    for old in configs[:3]:
+        assert node.take(PEER, full_delta(old), now=1.0) == []
+    assert node.config.generation(PARTNER) == 3
+    assert node.config.services[SERVICE].upstreams[0].weight == 3.0
+
+
+def test_delta_with_newer_base_is_requested_with_the_right_one() -> None:
+    """Guards against a gap: entries changed before the base are missed."""
+    ahead = dissemination()
+    ahead.take(PEER, full_delta(history(3)[3]), now=0.0)
+    node = dissemination()
+    delta = ahead.config.delta_since(PARTNER, Generation(2))
+    [sent] = node.take(PEER, delta, now=0.0)
+    assert sent.receiver == PEER
+    assert sent.payload == DeltaRequest(partner_id=PARTNER, base=Generation(0))
+    assert node.config.generation(PARTNER) == 0
+
+
+def test_next_peer_is_asked_when_one_does_not_answer() -> None:
+    """Guards against a lost delta that nobody asks for again."""
+    node = dissemination()
+    digest = ConfigDigest(generations={PARTNER: Generation(5)})
+    first = node.digested(PEER, digest, now=0.0)
+    assert node.digested(OTHER, digest, now=0.1) == []
+    asked = [item.receiver for item in first]
+    now = 0.0
+    while (at := node.next_wakeup()) is not None:
+        now = at
+        asked += [item.receiver for item in node.wake(now=now)]
+    assert asked[:2] == [PEER, OTHER]
+    assert len(asked) == MAX_ASKS
+    assert node.digested(PEER, digest, now=now) != []
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 0, 1), (1, 1, 0, 2)])
+def test_parts_take_effect_only_together(order: tuple[int, ...]) -> None:
+    """Guards against half a configuration in force when a part is late."""
+    entries = [
+        msgspec.structs.replace(service(), service_id=ServiceId(f"{PARTNER}/s{index}"))
+        for index in range(6)
+    ]
+    config = next_config(PartnerConfig(PARTNER), entries, change_id="c")
+    size = len(msgspec.msgpack.encode(config.services[0]))
+    parts = split_delta(full_delta(config), max_bytes=2 * size)
+    assert len(parts) == 3
+    receiver = ConfigReceiver(node_id=NodeId("balancer/a"), config=ConfigStore())
+    for index in order[:-1]:
+        assert receiver.take(PEER, parts[index], now=0.0) == (False, [])
+        assert receiver.config.services == {}
+    assert receiver.take(OTHER, parts[order[-1]], now=0.0) == (True, [])
+    assert len(receiver.config.services) == 6
+
+
+def test_agent_gets_only_its_own_service() -> None:
+    """Guards against an agent that holds or pays for other services."""
+    node = dissemination()
+    other = msgspec.structs.replace(service(), service_id=ServiceId(f"{PARTNER}/b"))
+    config = next_config(PartnerConfig(PARTNER), [service(), other], change_id="c")
+    node.take(PEER, full_delta(config), now=0.0)
+    request = DeltaRequest(partner_id=PARTNER, base=Generation(0), service_id=SERVICE)
+    [sent] = node.requested(PEER, request)
+    assert isinstance(sent.payload, ConfigDelta)
+    assert [entry.service_id for entry in sent.payload.services] == [SERVICE]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_change_is_in_force_everywhere_in_spite_of_loss(seed: int) -> None:
+    """Guards against balancers or agents that miss a change for good."""
+    net = Deployment(seed=seed)
+    net.net.loss = 0.1
+    net.run(10)
+    net.apply(service(2.0))
+    assert net.net.run_until(lambda: net.generations() == {1}, step=0.1, end=17.0)
+
+
+def test_paused_balancer_and_joiner_learn_the_newest_while_the_store_is_down() -> None:
+    """Guards against an old process that spreads what it remembers."""
+    net = Deployment(seed=4)
+    net.apply(service())
+    net.run(8)
+    net.net.paused.add(net.seeds[8])
+    net.apply(service(2.0))
+    net.run(8)
+    net.net.store.down = True
+    net.net.resume(net.seeds[8])
+    net.add_balancer(9)
+    net.run(5)
+    assert net.generations() == {2}
--- /dev/null
+++ b/tests/unit/test_lease.py
@@ -0,0 +1,192 @@
+"""Leases: takeover, pauses, lost replies, bounded calls after an outage."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+from control_fixture import Deployment, service
+
+from bramleydyke.constants import (
+    LEASE_DURATION_S,
+    LEASE_LOOK_S,
+    LEASE_MARGIN_S,
+    LEASE_RENEW_S,
+)
+from bramleydyke.core.lease import LOOK_JITTER_S, Lease, LeaseRecord
+from bramleydyke.core.platform_calls import PlatformCalls
+from bramleydyke.messages import Envelope, PlatformReply, PlatformWrite
+from bramleydyke.types import (
+    AvailabilityZone,
+    Incarnation,
+    PlatformStatus,
+    balancer_node,
+)
+
+ZONE = AvailabilityZone("meknes")
+
+
+class Contender:
+    """One process with its lease; the test delivers the replies."""
+
+    def __init__(self, name: str) -> None:
+        self.calls = PlatformCalls(node_id=balancer_node(name))
+        self.lease = Lease(
+            zone=ZONE,
+            slot=0,
+            node_id=balancer_node(name),
+            incarnation=Incarnation(1),
+            calls=self.calls,
+            random_source=random.Random(1),
+        )
+
+    def wake(self, now: float) -> list[Envelope]:
+        return _calls(self.lease.wake(now=now, wanted=True))
+
+    def reply(
+        self,
+        call: Envelope,
+        status: PlatformStatus,
+        *,
+        now: float,
+        version: int = 0,
+        record: LeaseRecord | None = None,
+    ) -> list[Envelope]:
+        value = None if record is None else msgspec.json.encode(record)
+        reply = PlatformReply(
+            call=call.payload.call, status=status, version=version, value=value
+        )
+        return _calls(self.calls.replied(reply, now=now))
+
+    def take(self, *, now: float) -> None:
+        [read] = self.wake(now)
+        [write] = self.reply(read, PlatformStatus.NOT_FOUND, now=now)
+        self.reply(write, PlatformStatus.OK, now=now, version=1)
+
+
+def _calls(envelopes: list[Envelope]) -> list[Envelope]:
+    return [item for item in envelopes if hasattr(item.payload, "call")]
+
+
+def _written(call: Envelope) -> LeaseRecord:
+    assert isinstance(call.payload, PlatformWrite)
+    return msgspec.json.decode(call.payload.value, type=LeaseRecord)
+
+
+def test_holder_checks_its_clock_after_a_pause() -> None:
+    """Guards against a paused holder that acts after its time."""
+    holder = Contender("a")
+    holder.take(now=0.0)
+    assert holder.lease.holding(LEASE_DURATION_S - 0.1)
+    assert not holder.lease.holding(LEASE_DURATION_S)
+    holder.wake(LEASE_DURATION_S + 60)
+    assert not holder.lease.holding(LEASE_DURATION_S + 60)
+
+
+def test_time_counts_from_the_sending_of_the_write() -> None:
+    """Guards against a slow reply that stretches the lease."""
+    holder = Contender("a")
+    [read] = holder.wake(0.0)
+    [write] = holder.reply(read, PlatformStatus.NOT_FOUND, now=1.0)
+    holder.reply(write, PlatformStatus.OK, now=5.0, version=1)
+    assert not holder.lease.holding(1.0 + LEASE_DURATION_S)
+
+
+def test_lost_write_that_took_effect_is_held() -> None:
+    """Guards against a lease that nobody acts on after a lost reply."""
+    holder = Contender("a")
+    [read] = holder.wake(0.0)
+    [write] = holder.reply(read, PlatformStatus.NOT_FOUND, now=0.0)
+    [again] = holder.reply(write, PlatformStatus.LOST, now=5.0)
+    holder.reply(again, PlatformStatus.OK, now=5.0, version=1, record=_written(write))
+    assert holder.lease.holding(LEASE_DURATION_S - 0.1)
+    assert holder.lease.token == 1
+
+
+def test_lost_renewal_is_not_taken_for_the_one_before() -> None:
+    """Guards against a lease that is counted from a write without effect."""
+    holder = Contender("a")
+    [read] = holder.wake(0.0)
+    [first] = holder.reply(read, PlatformStatus.NOT_FOUND, now=0.0)
+    holder.reply(first, PlatformStatus.OK, now=0.0, version=1)
+    [renewal] = holder.wake(LEASE_RENEW_S)
+    now = LEASE_RENEW_S + 6
+    [again] = holder.reply(renewal, PlatformStatus.LOST, now=now)
+    [repeated] = holder.reply(
+        again, PlatformStatus.OK, now=now, version=1, record=_written(first)
+    )
+    assert repeated.payload.expected == 1
+    assert not holder.lease.holding(LEASE_DURATION_S + 0.1)
+
+
+def test_foreign_lease_is_taken_only_after_its_time() -> None:
+    """Guards against a second holder, and against a lease left vacant."""
+    other = LeaseRecord(holder="balancer/b", incarnation=Incarnation(1))
+    waiting = Contender("a")
+    [read] = waiting.wake(0.0)
+    seen = {"version": 4, "record": other}
+    assert waiting.reply(read, PlatformStatus.OK, now=0.0, **seen) == []
+    [read] = waiting.wake(LEASE_DURATION_S)
+    assert waiting.reply(read, PlatformStatus.OK, now=LEASE_DURATION_S, **seen) == []
+    now = LEASE_DURATION_S + LEASE_MARGIN_S + LOOK_JITTER_S
+    [read] = waiting.wake(now)
+    [write] = waiting.reply(read, PlatformStatus.OK, now=now, **seen)
+    assert write.payload.expected == 4
+    waiting.reply(write, PlatformStatus.CONFLICT, now=now, version=5, record=other)
+    assert not waiting.lease.holding(now)
+
+
+def test_each_zone_has_two_watchers_and_replaces_a_dead_one() -> None:
+    """Guards against a zone that stops watching with its lease holder."""
+    net = Deployment(seed=1)
+    net.run(10)
+    held = [node for node in net.balancers if node.control.watcher.holding(net.net.now)]
+    assert len(held) == 6
+    net.net.remove(held[0].node_id)
+    net.run(LEASE_DURATION_S + LEASE_MARGIN_S + LEASE_LOOK_S + 5)
+    held = [node for node in net.balancers if node.control.watcher.holding(net.net.now)]
+    assert len(held) == 6
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_outage_ends_without_a_burst_of_calls(seed: int) -> None:
+    """Guards against processes that call in step, or fast, in an outage."""
+    net = Deployment(seed=seed)
+    net.apply(service())
+    net.run(20)
+    net.net.store.down = True
+    net.net.store.calls.clear()
+    net.run(120)
+    assert net.net.store.calls.total() < 500
+    net.net.store.down = False
+    net.apply(service(2.0))
+    net.net.store.calls.clear()
+    net.run(1)
+    assert net.net.store.calls.total() < 40
+    net.run(30)
+    assert net.generations() == {2}
+
+
+def test_writes_whose_replies_are_lost_do_not_end_the_watch() -> None:
+    """Guards against leases that break while replies to writes get lost."""
+    net = Deployment(seed=3)
+    net.run(10)
+    net.net.store.lose_replies = True
+    net.run(60)
+    net.apply(service())
+    net.run(10)
+    assert net.generations() == {1}
+
+
+def test_sheet_under_the_other_partner_is_refused() -> None:
+    """Guards against a partner's object that speaks for the other one."""
+    net = Deployment(seed=4)
+    net.apply(service())
+    net.run(10)
+    forged = msgspec.structs.replace(net.config, partner_id="studio", generation=9)
+    net.put("sheets/federation", forged)
+    net.put("sheets/studio", net.config)
+    net.run(5)
+    assert net.generations() == {1}
+    assert net.net.counts["refused.wrong_partner"] > 0
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,175 @@
+"""Membership: suspicion, refutation, isolation, credentials, retention."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from control_fixture import SERVICE, ZONES, Deployment
+
+from bramleydyke.constants import MEMBER_RETENTION_S
+from bramleydyke.core.members import Members
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import Announcement, Envelope, SetDrain
+from bramleydyke.types import (
+    Incarnation,
+    MemberState,
+    NodeId,
+    UpstreamId,
+    agent_node,
+    balancer_node,
+)
+
+RUNNING = MemberState.RUNNING
+U0 = agent_node(SERVICE, UpstreamId("u0"))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_dead_agent_is_suspected_and_forgotten(seed: int) -> None:
+    """Guards against dead agents that stay in use or in memory for ever."""
+    net = Deployment(seed=seed)
+    net.run(5)
+    net.net.remove(U0)
+    net.run(6)
+    assert net.states(U0) == {MemberState.SUSPECT}
+    net.run(MEMBER_RETENTION_S + 60)
+    assert net.states(U0) == {None}
+    assert all(U0 not in agent.members.by_node for agent in net.agents)
+
+
+def test_dead_balancer_is_suspected_and_replaced_as_home() -> None:
+    """Guards against agents that stay with a dead home balancer."""
+    net = Deployment(seed=3)
+    net.run(5)
+    home = net.net.nodes[U0].link.home.homes(now=net.net.now)[0]
+    net.net.remove(home)
+    net.run(8)
+    assert net.states(home) == {MemberState.SUSPECT}
+    assert home not in net.net.nodes[U0].link.home.homes(now=net.net.now)
+    assert net.states(U0) == {RUNNING}
+
+
+def test_silence_towards_one_home_is_not_spread() -> None:
+    """Guards against one bad link that takes an upstream out everywhere."""
+    net = Deployment(seed=4, agents=6)
+    net.run(5)
+    home = net.net.nodes[U0].link.home.homes(now=net.net.now)[0]
+    net.net.cut = lambda a, b: {a, b} == {home, U0}
+    for _ in range(20):
+        net.run(0.5)
+        assert net.states(U0) == {RUNNING}
+
+
+@pytest.mark.parametrize("seed", [5, 6])
+def test_paused_agent_refutes_its_suspicion(seed: int) -> None:
+    """Guards against a live agent that stays suspected after a pause."""
+    net = Deployment(seed=seed)
+    net.run(5)
+    net.net.paused.add(U0)
+    net.run(8)
+    assert net.states(U0) == {MemberState.SUSPECT}
+    net.net.resume(U0)
+    net.run(3)
+    assert net.states(U0) == {RUNNING}
+
+
+def test_paused_balancer_suspects_nobody() -> None:
+    """Guards against a home that blames its own pause on its agents."""
+    net = Deployment(seed=7, agents=9)
+    net.run(5)
+    home = net.net.nodes[U0].link.home.homes(now=net.net.now)[0]
+    net.net.paused.add(home)
+    net.run(20)
+    net.net.resume(home)
+    for _ in range(20):
+        net.run(0.25)
+        assert all(net.states(agent.node_id) == {RUNNING} for agent in net.agents)
+    assert net.states(home) == {RUNNING}
+
+
+def test_isolated_zone_keeps_its_table_and_the_others_theirs() -> None:
+    """Guards against an isolation that empties tables on either side."""
+    net = Deployment(seed=8, agents=9)
+    net.run(5)
+    inside = {
+        node.node_id
+        for index, node in enumerate([*net.balancers, *net.agents])
+        if index % 3 == 0
+    }
+    net.net.cut = lambda a, b: (a in inside) != (b in inside)
+    net.run(30)
+    everyone = [*net.balancers, *net.agents]
+    assert all(net.states(node.node_id) == {RUNNING} for node in everyone)
+
+
+def test_zone_without_balancers_uses_those_of_other_zones() -> None:
+    """Guards against agents that nobody watches over."""
+    net = Deployment(seed=9, balancers=2)
+    agent = net.add_agent(2)
+    net.run(8)
+    assert agent.announcement.zone == ZONES[2]
+    assert net.states(agent.node_id) == {RUNNING}
+    net.net.remove(agent.node_id)
+    net.run(10)
+    assert net.states(agent.node_id) == {MemberState.SUSPECT}
+
+
+def test_clean_stop_is_announced() -> None:
+    """Guards against a planned stop that is only noticed as a failure."""
+    net = Deployment(seed=10)
+    net.run(5)
+    net.net.send(net.net.nodes[U0].stop(now=net.net.now))
+    net.net.remove(U0)
+    net.run(2)
+    assert net.states(U0) == {MemberState.STOPPED}
+
+
+def test_wrong_credential_is_refused_and_counted() -> None:
+    """Guards against one partner's process in the other's service."""
+    net = Deployment(seed=11)
+    agent = net.add_agent(7, secret=b"another partner's secret")
+    net.run(5)
+    assert net.states(agent.node_id) == {None}
+    assert net.net.counts[counter_name(ErrorKind.WRONG_PARTNER)] > 0
+
+
+def test_restart_and_other_agents_are_known_to_agents() -> None:
+    """Guards against agents that cannot query the others of their service."""
+    net = Deployment(seed=12, agents=4)
+    net.run(4)
+    net.add_agent(0, incarnation=2)
+    net.run(4)
+    for agent in net.agents:
+        assert len(agent.members.agents[SERVICE]) == 4
+        assert agent.members.incarnation(U0) == 2
+
+
+def test_drain_reaches_everyone_within_the_notice() -> None:
+    """Guards against new work for an upstream that is leaving (H6)."""
+    net = Deployment(seed=13)
+    net.run(5)
+    net.net.loss = 0.05
+    message = SetDrain(draining=True)
+    order = Envelope(NodeId("local/operator"), U0, message)
+    net.net.send(net.net.nodes[U0].receive(order, now=net.net.now))
+    net.run(3)
+    assert net.states(U0) == {MemberState.DRAINING}
+
+
+def test_forgetting_at_different_times_does_not_bring_a_member_back() -> None:
+    """Guards against digests that resurrect what a peer has forgotten."""
+    stopped = Announcement(
+        node_id=balancer_node("x"),
+        incarnation=Incarnation(1),
+        revision=2,
+        state=MemberState.STOPPED,
+        zone=ZONES[0],
+        endpoint="",
+    )
+    first, second = Members(), Members()
+    running = msgspec.structs.replace(stopped, state=RUNNING, revision=1)
+    for members in (first, second):
+        members.merge(running, now=0.0)
+        members.merge(stopped, now=0.0)
+    first.forget_gone(before=1.0)
+    assert first.by_node == {} and second.by_node
+    assert first.differing(second.digest()) == []
