Tests that single out each guard of the membership

Cause: deliberate faults in eight guards (own pause, self-blame of a home, floor, refutation by reply, unlisted members, order of generations in the store) left all tests green, because a second guard covered for each. Change: one test for each of these guards; it fails when the guard is removed. Conclusion: the guards are covered one by one.

--- a/tests/unit/test_dissemination.py
+++ b/tests/unit/test_dissemination.py
@@ -42,6 +42,7 @@
     node.take(PEER, full_delta(configs[3]), now=0.0)
     for old in configs[:3]:
         assert node.take(PEER, full_delta(old), now=1.0) == []
+        assert not node.config.apply(full_delta(old), now=1.0)
     assert node.config.generation(PARTNER) == 3
     assert node.config.services[SERVICE].upstreams[0].weight == 3.0
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -7,9 +7,11 @@
 from control_fixture import SERVICE, ZONES, Deployment
 
 from bramleydyke.constants import MEMBER_RETENTION_S
+from bramleydyke.core.homes import HomeMap
 from bramleydyke.core.members import Members
+from bramleydyke.core.suspicion import Suspicion
 from bramleydyke.errors import ErrorKind, counter_name
-from bramleydyke.messages import Announcement, Envelope, SetDrain
+from bramleydyke.messages import Announcement, Envelope, HeartbeatReply, SetDrain
 from bramleydyke.types import (
     Incarnation,
     MemberState,
@@ -157,14 +159,7 @@
 
 def test_forgetting_at_different_times_does_not_bring_a_member_back() -> None:
     """Guards against digests that resurrect what a peer has forgotten."""
-    stopped = Announcement(
-        node_id=balancer_node("x"),
-        incarnation=Incarnation(1),
-        revision=2,
-        state=MemberState.STOPPED,
-        zone=ZONES[0],
-        endpoint="",
-    )
+    stopped = announce(balancer_node("x"), state=MemberState.STOPPED, revision=2)
     first, second = Members(), Members()
     running = msgspec.structs.replace(stopped, state=RUNNING, revision=1)
     for members in (first, second):
@@ -173,3 +168,87 @@
     first.forget_gone(before=1.0)
     assert first.by_node == {} and second.by_node
     assert first.differing(second.digest()) == []
+
+
+def announce(node_id: NodeId, **fields: object) -> Announcement:
+    values = {
+        "incarnation": Incarnation(1),
+        "revision": 1,
+        "state": RUNNING,
+        "zone": ZONES[0],
+        "endpoint": "",
+    }
+    return Announcement(node_id=node_id, **values | fields)
+
+
+def agent_announcement(name: str, state: MemberState) -> Announcement:
+    upstream = UpstreamId(name)
+    return announce(
+        agent_node(SERVICE, upstream),
+        state=state,
+        service_id=SERVICE,
+        upstream_id=upstream,
+    )
+
+
+def test_suspicions_of_most_upstreams_are_disregarded() -> None:
+    """Guards against a faulty detector that leaves a service without any."""
+    members = Members()
+    states = [RUNNING, MemberState.SUSPECT, MemberState.SUSPECT]
+    for index, state in enumerate(states):
+        members.merge(agent_announcement(f"u{index}", state), now=0.0)
+    assert len(members.usable(SERVICE)) == 3
+    members.merge(agent_announcement("u3", RUNNING), now=0.0)
+    assert set(members.usable(SERVICE)) == {"u0", "u3"}
+
+
+def test_silence_over_a_pause_does_not_count() -> None:
+    """Guards against two homes that pause together and agree afterwards."""
+    members = Members()
+    own, other = balancer_node("a"), balancer_node("b")
+    for node_id in (own, other, balancer_node("c")):
+        members.merge(announce(node_id), now=0.0)
+    suspicion = Suspicion(
+        node_id=own, members=members, homes=HomeMap(members), spread=lambda *_: None
+    )
+    for now in (0.0, 1.0, 60.0):
+        assert suspicion.check(now=now) == []
+    for now in (61.0, 62.0, 63.0):
+        assert suspicion.check(now=now) == []
+    assert suspicion.others
+    assert suspicion.check(now=63.5) != []
+
+
+def test_homes_that_hear_of_nobody_blame_themselves() -> None:
+    """Guards against cut-off homes that confirm each other's suspicions."""
+    net = Deployment(seed=14, agents=9)
+    net.run(5)
+    agents = {agent.node_id for agent in net.agents}
+    homes = {item for index, item in enumerate(net.seeds) if index % 3 == 0}
+    net.net.cut = lambda a, b: a in agents and b in homes
+    for _ in range(40):
+        net.run(0.25)
+        assert all(net.states(agent) == {RUNNING} for agent in agents)
+
+
+def test_reply_that_calls_a_process_suspect_is_refuted() -> None:
+    """Guards against a suspicion that only its spread would reveal."""
+    net = Deployment(seed=15)
+    net.run(3)
+    link = net.net.nodes[U0].link.home
+    reply = HeartbeatReply(
+        incarnation=Incarnation(1), revision=5, state=MemberState.SUSPECT
+    )
+    [sent] = link.replied(link.homes(now=3.0)[0], reply, now=3.0)
+    assert sent.payload.revision == 6
+    assert sent.payload.state is RUNNING
+
+
+def test_agent_drops_members_that_its_homes_have_forgotten() -> None:
+    """Guards against agents that keep a dead peer in use for ever."""
+    net = Deployment(seed=16)
+    net.run(3)
+    gone = agent_announcement("gone", RUNNING)
+    net.net.nodes[U0].members.merge(gone, now=net.net.now)
+    net.run(40)
+    assert gone.node_id not in net.net.nodes[U0].members.by_node
