Flow and stream messages

Cause: the core had no messages for datagram flows and byte streams. Change: messages between the ports, balancers and agents for both, the caller address type, and the error kinds table_full, hop_limit and flow_silent. Conclusion: other parts can build on the messages; nothing handles them yet.

--- a/src/bramleydyke/errors.py
+++ b/src/bramleydyke/errors.py
@@ -30,6 +30,9 @@
     ANSWER_EVICTED = "answer_evicted"
     RECORD_UNKNOWN = "record_unknown"
     ABANDONED = "abandoned"
+    TABLE_FULL = "table_full"
+    HOP_LIMIT = "hop_limit"
+    FLOW_SILENT = "flow_silent"
     BAD_FRAME = "bad_frame"
     BAD_VERSION = "bad_version"
     FRAME_TOO_LARGE = "frame_too_large"
@@ -85,6 +88,9 @@
     ErrorKind.ANSWER_EVICTED: _unknown(502, "The request ran; its answer is gone."),
     ErrorKind.RECORD_UNKNOWN: _unknown(503, "Check the effect before sending again."),
     ErrorKind.ABANDONED: _unknown(499, "Nothing: the caller went away."),
+    ErrorKind.TABLE_FULL: _not_run(503, "Open the connection again after a pause."),
+    ErrorKind.HOP_LIMIT: _not_run(503, "Send the packet again."),
+    ErrorKind.FLOW_SILENT: _unknown(504, "Open the flow again."),
     ErrorKind.BAD_FRAME: _not_run(400, "Check the sender's version and the link."),
     ErrorKind.BAD_VERSION: _not_run(400, "Upgrade the older process."),
     ErrorKind.FRAME_TOO_LARGE: _not_run(413, "Send a smaller message."),
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -14,6 +14,8 @@
 from bramleydyke.errors import ErrorKind
 from bramleydyke.types import (
     AvailabilityZone,
+    CallerAddress,
+    FlowId,
     Generation,
     Incarnation,
     MemberState,
@@ -24,6 +26,7 @@
     RequestId,
     ServiceAddress,
     ServiceId,
+    StreamId,
     UpstreamId,
 )
 
@@ -215,6 +218,235 @@
     request_id: RequestId
 
 
+# Datagram flows: local ports.
+
+
+class PacketIn(Message):
+    """A caller's datagram arrived at a service address."""
+
+    address: ServiceAddress
+    caller: CallerAddress
+    data: bytes
+
+
+class PacketOut(Message):
+    """A datagram that leaves from a service address to a caller."""
+
+    address: ServiceAddress
+    caller: CallerAddress
+    data: bytes
+
+
+class PacketDeliver(Message):
+    """A caller's datagram for the upstream."""
+
+    flow_id: FlowId
+    binding: int
+    """Number of the flow's upstream socket; a new number opens a new one."""
+
+    address: ServiceAddress
+    caller: CallerAddress
+    data: bytes
+
+
+class PacketAnswered(Message):
+    """A datagram that the upstream sent on a flow's socket."""
+
+    flow_id: FlowId
+    binding: int
+    data: bytes
+
+
+# Datagram flows: balancer and agent, agent and agent.
+
+
+class PacketForward(Message):
+    """A caller's datagram on its way to the agent that owns its flow."""
+
+    flow_id: FlowId
+    address: ServiceAddress
+    caller: CallerAddress
+    partner_id: PartnerId
+    service_id: ServiceId
+    generation: Generation
+    """Generation by which ``lookup`` and ``admit`` were made."""
+
+    balancer: NodeId
+    """The balancer that took the datagram; answers go back through it."""
+
+    data: bytes
+    hinted: UpstreamId | None = None
+    """Owner that the balancer knew of; None if it knew of none."""
+
+    hops: int = 0
+    """Agents that have passed the datagram on."""
+
+    visited: tuple[UpstreamId, ...] = ()
+    """Upstreams that do not hold the flow or cannot be reached."""
+
+    refused: tuple[UpstreamId, ...] = ()
+    """Upstreams that do not admit the flow."""
+
+    lookup: tuple[UpstreamId, ...] = ()
+    """Upstreams that may hold the flow, most likely first."""
+
+    admit: tuple[UpstreamId, ...] = ()
+    """Upstreams in the order in which they may admit the flow."""
+
+
+class PacketReturn(Message):
+    """An upstream's datagram on its way back to the caller."""
+
+    flow_id: FlowId
+    service_id: ServiceId
+    address: ServiceAddress
+    caller: CallerAddress
+    data: bytes
+
+
+class FlowHint(Message):
+    """Names the owner of a flow to a balancer, or to another agent."""
+
+    flow_id: FlowId
+    service_id: ServiceId
+    address: ServiceAddress
+    caller: CallerAddress
+    owner: UpstreamId
+
+
+class FlowReset(Message):
+    """An upstream does not hold a flow any more, or never did."""
+
+    flow_id: FlowId
+    service_id: ServiceId
+    upstream_id: UpstreamId
+    kind: ErrorKind
+
+
+class FlowProbe(Message):
+    """Asks an agent whether it holds a flow, or a balancer whether it runs."""
+
+    flow_id: FlowId
+    service_id: ServiceId
+
+
+class FlowAlive(Message):
+    """Reply to ``FlowProbe``: the flow is held, or the balancer runs."""
+
+    flow_id: FlowId
+    service_id: ServiceId
+    leaving: bool = False
+    """True if the balancer is about to stop; answers should go elsewhere."""
+
+
+# Byte streams: local caller port and local upstream port.
+
+
+class ConnectionOpened(Message):
+    """A caller opened a connection to a service address."""
+
+    connection: str
+    """Chosen by the port; unique at this balancer."""
+
+    address: ServiceAddress
+
+
+class OpenConnection(Message):
+    """Asks the upstream port for a connection to the upstream."""
+
+    connection: str
+
+
+class ConnectionReady(Message):
+    """The connection to the upstream is open."""
+
+    connection: str
+
+
+class ConnectionData(Message):
+    """Bytes read from a connection, or to be written to it."""
+
+    connection: str
+    data: bytes
+
+
+class ConnectionWritten(Message):
+    """Bytes that the port has passed on; they free the window."""
+
+    connection: str
+    amount: int
+
+
+class ConnectionEnd(Message):
+    """No more bytes follow in this direction."""
+
+    connection: str
+
+
+class ConnectionAbort(Message):
+    """The connection is broken, or is to be reset."""
+
+    connection: str
+    kind: ErrorKind
+
+
+class ConnectionPause(Message):
+    """Stops or resumes reading from a connection."""
+
+    connection: str
+    paused: bool
+
+
+# Byte streams: balancer and agent. Offsets count bytes from 0 in each
+# direction.
+
+
+class StreamOpen(Message):
+    """Asks an agent for a stream to its upstream; repeated until answered."""
+
+    stream_id: StreamId
+    partner_id: PartnerId
+    service_id: ServiceId
+    generation: Generation
+
+
+class StreamOpened(Message):
+    """The connection to the upstream is open."""
+
+    stream_id: StreamId
+
+
+class StreamData(Message):
+    """Bytes of one direction of a stream."""
+
+    stream_id: StreamId
+    offset: int
+    data: bytes
+
+
+class StreamAck(Message):
+    """Everything below ``offset`` has arrived; ``limit`` may be sent."""
+
+    stream_id: StreamId
+    offset: int
+    limit: int
+    """First offset for which the receiver has no room."""
+
+
+class StreamClose(Message):
+    """One direction ends at ``offset``."""
+
+    stream_id: StreamId
+    offset: int
+
+
+class StreamReset(Message):
+    """The stream is refused or has broken."""
+
+    stream_id: StreamId
+    kind: ErrorKind
+
+
 # Membership.
 
 
--- a/src/bramleydyke/types.py
+++ b/src/bramleydyke/types.py
@@ -23,6 +23,9 @@
 ServiceAddress = NewType("ServiceAddress", str)
 """Where callers reach a service, as ``ip:port``."""
 
+CallerAddress = NewType("CallerAddress", str)
+"""Where a caller sends from, as ``ip:port``."""
+
 RequestId = NewType("RequestId", str)
 """A request; the caller's idempotency key, or made by the balancer."""
 
