--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -98,3 +98,60 @@
 
 MAX_PACKET_AGE_S = 60.0
 """Longest time that a message between own processes can be on its way."""
+
+MAX_HOPS = 12
+"""Agents that may pass one datagram on: all lookups and some refusals."""
+
+AGENT_FLOWS = 2_000
+"""Datagram flows that an agent holds; the upstreams take 2,000 connections."""
+
+FLOW_IDLE_S = 600.0
+"""Time without a packet after which a datagram flow is over."""
+
+FLOW_SETTLE_S = 10.0
+"""Time after its start in which an agent asks the whole owner order."""
+
+FLOW_AVOID_S = 30.0
+"""Time in which an agent does not admit a flow again that was silent there."""
+
+SILENT_PACKETS = 4
+"""Unanswered packets after which a flow may be silent."""
+
+FLOW_SILENT_S = 3.0
+"""Time without an answer after which a flow may be silent."""
+
+MAX_REBINDS = 2
+"""New upstream sockets that a silent flow gets before it is ended."""
+
+PROBE_TIMEOUT_S = 0.5
+"""Wait for the reply to a probe."""
+
+PROBE_TRIES = 3
+"""Unanswered probes after which a process counts as silent."""
+
+PROBES_PER_S = 100.0
+"""Flow probes a second of one balancer; 100 take about 6 KB/s."""
+
+STREAM_WINDOW_BYTES = 256 * 1024
+"""Unacknowledged bytes of one direction of a stream."""
+
+STREAM_SEGMENT_BYTES = 16 * 1024
+"""Largest piece of a stream in one message."""
+
+STREAM_RESEND_S = 0.3
+"""First wait for an acknowledgement; it doubles up to the cap."""
+
+STREAM_RESEND_CAP_S = 2.0
+"""Longest wait for an acknowledgement."""
+
+STREAM_KEEPALIVE_S = 10.0
+"""Interval at which an idle stream is probed."""
+
+STREAM_SILENT_S = 30.0
+"""Silence of the other side after which a stream is reset."""
+
+STREAM_OPEN_S = 10.0
+"""Time in which a stream must find an agent."""
+
+AGENT_STREAMS = 2_000
+"""Byte streams that an agent holds."""
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -11,9 +11,11 @@
 from bramleydyke.core.admission import Admission
 from bramleydyke.core.balancer import Handler
 from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.flows import FlowServer
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_server import RequestServer
+from bramleydyke.core.return_path import ReturnPath
 from bramleydyke.messages import (
     Accepted,
     Announcement,
@@ -21,7 +23,12 @@
     Cancelled,
     CancelRequest,
     Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
     Offer,
+    PacketAnswered,
+    PacketForward,
     RecordQuery,
     RecordReply,
     Refusal,
@@ -50,6 +57,7 @@
         members: Agents of the service and the home balancers.
         requests: Requests at this upstream.
         placer: Requests that this agent places as their home.
+        flows: Datagram flows of this upstream.
     """
 
     def __init__(
@@ -107,6 +115,20 @@
             peers=self.peers,
             placer=self.placer,
         )
+        self.flows = flows = FlowServer(
+            node_id=self.node_id,
+            partner_id=partner_id,
+            service_id=service_id,
+            upstream_id=upstream_id,
+            started_at=now,
+            config=self.config,
+            gone=self.gone,
+            returns=ReturnPath(
+                node_id=self.node_id,
+                service_id=service_id,
+                home=lambda: self.balancers,
+            ),
+        )
         server = self.requests
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
@@ -120,6 +142,11 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            PacketForward: lambda _, msg, now: flows.forwarded(msg, now=now),
+            PacketAnswered: lambda _, msg, now: flows.answered(msg, now=now),
+            FlowHint: lambda who, msg, _: flows.hinted(who, msg),
+            FlowProbe: lambda who, msg, _: flows.probed(who, msg),
+            FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
             ConfigDelta: self._config_delta,
             Announcement: self._peer_announced,
             SetDrain: self._set_drain,
@@ -134,7 +161,7 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
-        out = self.requests.wake(now=now)
+        out = self.requests.wake(now=now) + self.flows.wake(now=now)
         if now >= self.heartbeat_at:
             self.heartbeat_at = now + HEARTBEAT_S
             out += self.announce()
@@ -142,10 +169,8 @@
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        requests_at = self.requests.next_wakeup()
-        if requests_at is None:
-            return self.heartbeat_at
-        return min(requests_at, self.heartbeat_at)
+        parts = (self.requests.next_wakeup(), self.flows.next_wakeup())
+        return min((self.heartbeat_at, *(at for at in parts if at is not None)))
 
     def announce(self) -> list[Envelope]:
         """Returns this agent's announcement to its home balancers."""
@@ -156,7 +181,7 @@
 
     def idle(self) -> bool:
         """Tells whether a draining agent may stop."""
-        return self.requests.idle()
+        return self.requests.idle() and self.flows.idle()
 
     def peers(self, now: float) -> set[UpstreamId]:
         """Returns the other upstreams that may know a request id.
@@ -183,13 +208,18 @@
         """Returns the weights of upstreams that a keyed request may go to."""
         return self.config.settled_weights(placement.service_id, now=now)
 
+    def gone(self, upstream_id: UpstreamId) -> bool:
+        """Tells whether another upstream's agent cannot be reached."""
+        member = self.members.agent(self.service_id, upstream_id)
+        gone = (MemberState.STOPPED, MemberState.SUSPECT)
+        return member is not None and member.state in gone
+
     def _may_remember(self, upstream_id: UpstreamId, *, now: float) -> bool:
         member = self.members.agent(self.service_id, upstream_id)
         if member is None:
             return False
-        gone = member.state in (MemberState.STOPPED, MemberState.SUSPECT)
         since = self.members.changed_at.get(member.node_id, now)
-        return not gone or now - since < RECORD_RETENTION_S
+        return not self.gone(upstream_id) or now - since < RECORD_RETENTION_S
 
     def _config_delta(
         self, _: NodeId, delta: ConfigDelta, now: float
@@ -200,12 +230,20 @@
     def _peer_announced(
         self, _: NodeId, announcement: Announcement, now: float
     ) -> list[Envelope]:
-        if announcement.service_id == self.service_id:
-            self.members.merge(announcement, now=now)
+        upstream_id = announcement.upstream_id
+        if announcement.service_id != self.service_id or upstream_id is None:
+            return []
+        before = self.members.incarnation(announcement.node_id)
+        merged = self.members.merge(announcement, now=now)
+        if self.gone(upstream_id):
+            self.flows.table.drop_pointers(upstream_id)
+        elif merged and announcement.incarnation > before:
+            return self.flows.peer_started(upstream_id)
         return []
 
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
         self.requests.draining = message.draining
+        self.flows.table.draining = message.draining
         state = MemberState.DRAINING if message.draining else MemberState.RUNNING
         self.announcement = msgspec.structs.replace(
             self.announcement, state=state, revision=self.announcement.revision + 1
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 from bramleydyke.core.config import ConfigDelta, ConfigStore
+from bramleydyke.core.flow_router import FlowRouter
+from bramleydyke.core.health import HealthView
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
@@ -17,16 +19,23 @@
     Answer,
     Cancelled,
     Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
+    FlowReset,
+    PacketIn,
+    PacketReturn,
     Refusal,
     RequestAbandoned,
     RequestArrived,
+    SetDrain,
 )
 from bramleydyke.types import (
     Incarnation,
-    MemberState,
     NodeId,
     ServiceId,
     UpstreamId,
+    agent_node,
 )
 
 Handler = Callable[[NodeId, Any, float], list[Envelope]]
@@ -39,8 +48,12 @@
     Attributes:
         config: Configuration in force here.
         members: Agents and balancers known here.
+        health: Outcomes of the agents, as seen here.
+        limits: What each partner may use of this balancer.
         placer: Requests on their way to an agent.
         edge: Callers that wait here.
+        flows: Datagram flows.
+        time: Time of the last call, in seconds.
     """
 
     def __init__(
@@ -55,6 +68,9 @@
         self.incarnation = incarnation
         self.config = ConfigStore()
         self.members = Members()
+        self.health = HealthView(self.members)
+        self.limits = limits or PartnerLimits()
+        self.time = 0.0
         self.placer = Placer(
             node_id=node_id,
             members=self.members,
@@ -64,20 +80,36 @@
                 placement, result, now
             ),
             random_source=random_source,
+            silent=self.health.silent,
         )
         self.edge = RequestEdge(
             node_id=node_id,
             incarnation=incarnation,
             config=self.config,
             placer=self.placer,
-            limits=limits or PartnerLimits(),
+            limits=self.limits,
+        )
+        self.flows = flows = FlowRouter(
+            node_id=node_id,
+            config=self.config,
+            members=self.members,
+            health=self.health,
+            limits=self.limits,
+            usable=self.usable,
         )
         self.handlers: dict[type, Handler] = {
+            PacketIn: lambda _, msg, now: flows.packet_in(msg, now=now),
+            PacketReturn: lambda who, msg, now: flows.returned(who, msg, now=now),
+            FlowHint: lambda who, msg, now: flows.hinted(who, msg, now=now),
+            FlowReset: lambda who, msg, now: flows.reset(who, msg, now=now),
+            FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
+            FlowProbe: lambda who, msg, _: flows.probed(who, msg),
+            SetDrain: self._set_drain,
             RequestArrived: lambda _, msg, now: self.edge.arrived(msg, now=now),
             RequestAbandoned: lambda _, msg, now: self.edge.abandoned(msg, now=now),
             Accepted: lambda _, msg, now: self.placer.accepted(msg, now=now),
-            Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
-            Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
+            Answer: self._answered,
+            Refusal: self._refused,
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
             ConfigDelta: self._config_delta,
             Announcement: self._announcement,
@@ -85,6 +117,7 @@
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
+        self.time = now
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -92,27 +125,56 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
-        return self.placer.wake(now=now)
+        self.time = now
+        return self.placer.wake(now=now) + self.flows.wake(now=now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do, in seconds."""
-        return self.placer.next_wakeup()
+        times = (self.placer.next_wakeup(), self.flows.next_wakeup())
+        return min((at for at in times if at is not None), default=None)
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
-        return list(self.members.upstreams(service_id, MemberState.RUNNING))
+        return self.health.usable(service_id, now=self.time)
 
     def weights(self, placement: Placement, now: float) -> dict[UpstreamId, float]:
-        """Returns the weights of the upstreams that a request may go to."""
+        """Returns the weights of the upstreams that a request may go to.
+
+        The home of a keyed request must not depend on this balancer's view.
+        """
         if placement.keyed:
             return self.config.settled_weights(placement.service_id, now=now)
-        service = self.config.service(placement.service_id)
-        return {} if service is None else service.weights()
+        return self.current_weights(placement.service_id, now=now)
+
+    def current_weights(
+        self, service_id: ServiceId, *, now: float
+    ) -> dict[UpstreamId, float]:
+        """Returns the declared weights, lowered during slow starts."""
+        service = self.config.service(service_id)
+        weights = {} if service is None else service.weights()
+        return {
+            upstream_id: weight
+            * self.health.weight_factor(agent_node(service_id, upstream_id), now=now)
+            for upstream_id, weight in weights.items()
+        }
+
+    def _answered(self, sender: NodeId, message: Answer, now: float) -> list[Envelope]:
+        self.health.answered(sender, now=now)
+        return self.placer.answered(sender, message, now=now)
+
+    def _refused(self, sender: NodeId, message: Refusal, now: float) -> list[Envelope]:
+        self.health.refused(sender, message.kind, now=now)
+        return self.placer.refused(sender, message, now=now)
+
+    def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
+        self.flows.draining = message.draining
+        return []
 
     def _config_delta(
         self, _: NodeId, delta: ConfigDelta, now: float
     ) -> list[Envelope]:
         self.config.apply(delta, now=now)
+        self.flows.configured()
         return []
 
     def _announcement(
--- /dev/null
+++ b/src/bramleydyke/core/flow_router.py
@@ -0,0 +1,378 @@
+"""The balancer's side of datagram flows: sends each packet to an agent.
+
+The owner of a flow follows from the configuration, so a hint only saves the
+lookup. An agent that replies to nothing is found by probes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import (
+    FLOW_SILENT_S,
+    PROBES_PER_S,
+    SILENT_PACKETS,
+)
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.flow_hints import FlowHints, Hint, flow_id_of, flow_key
+from bramleydyke.core.health import HealthView
+from bramleydyke.core.limits import NEW_WORK_RESERVE, PartnerLimits, TokenBucket
+from bramleydyke.core.members import Members
+from bramleydyke.core.probes import Probes
+from bramleydyke.core.rendezvous import first_usable, owner_order
+from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
+from bramleydyke.messages import (
+    Count,
+    Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
+    FlowReset,
+    PacketForward,
+    PacketIn,
+    PacketOut,
+    PacketReturn,
+)
+from bramleydyke.types import (
+    LOCAL_CALLER,
+    LOCAL_METRICS,
+    FlowId,
+    Generation,
+    MemberState,
+    NodeId,
+    Outcome,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+LEAVING_NOTICE_S = 1.0
+"""Interval at which a leaving balancer tells an agent so."""
+
+
+@dataclass(slots=True)
+class Route:
+    """What the packets of one address need, resolved once a configuration."""
+
+    service_id: ServiceId
+    partner_id: PartnerId
+    generation: Generation
+    agent_prefix: str
+    hints: FlowHints
+    bucket: TokenBucket
+    reserve: float
+    """Tokens that are left to established flows."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FlowRouter:
+    """Datagram flows at one balancer.
+
+    Attributes:
+        usable: Upstreams of a service that may take new flows.
+        draining: True if this balancer is about to stop.
+        routes: Resolved addresses; cleared by ``configured``.
+        hints: Owners of each partner's flows.
+        probes: Probes of the agents, and when each was last heard.
+    """
+
+    node_id: NodeId
+    config: ConfigStore
+    members: Members
+    health: HealthView
+    limits: PartnerLimits
+    usable: Callable[[ServiceId], Iterable[UpstreamId]]
+    draining: bool = False
+    routes: dict[ServiceAddress, Route] = field(default_factory=dict)
+    hints: dict[PartnerId, FlowHints] = field(default_factory=dict)
+    probes: Probes = field(default_factory=Probes)
+    told_leaving: dict[NodeId, float] = field(default_factory=dict)
+    probe_budget: TokenBucket = field(
+        default_factory=lambda: TokenBucket(PROBES_PER_S, PROBES_PER_S, 0.0)
+    )
+
+    def configured(self) -> None:
+        """Drops what was resolved from an earlier configuration."""
+        self.routes.clear()
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        return self.probes.timers.next()
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Repeats probes and notes the agents that replied to none."""
+        repeated, silent = self.probes.due(now=now)
+        sent = [Envelope(self.node_id, node_id, probe) for node_id, probe in repeated]
+        for node_id in silent:
+            self.health.silent(node_id, now=now)
+            sent += self._count(counter_name(ErrorKind.AGENT_SILENT, action="probed"))
+        return sent
+
+    # Packets.
+
+    def packet_in(self, message: PacketIn, *, now: float) -> list[Envelope]:
+        """Sends a caller's packet to the owner of its flow."""
+        address = message.address
+        route = self.routes.get(address) or self._route(address, now=now)
+        if route is None:
+            return self._refuse(ErrorKind.NO_SERVICE)
+        flow_id = flow_id_of(address, message.caller)
+        hint = route.hints.get(flow_id, now=now)
+        reserve = route.reserve if hint is None else 0.0
+        if not route.bucket.take(now=now, reserve=reserve):
+            return self._refuse(ErrorKind.PARTNER_LIMIT)
+        if hint is None:
+            return self._first(message, route, flow_id, now=now)
+        owner = hint.owner
+        node_id = agent_node(route.service_id, owner)
+        if self._lost(node_id, now=now):
+            return self._move(message, route, flow_id, now=now)
+        hint.seen = now
+        if hint.unanswered == 0:
+            hint.since = now
+        hint.unanswered += 1
+        forward = PacketForward(
+            flow_id=flow_id,
+            address=address,
+            caller=message.caller,
+            partner_id=route.partner_id,
+            service_id=route.service_id,
+            generation=route.generation,
+            balancer=self.node_id,
+            data=message.data,
+            hinted=owner if hint.confirmed else None,
+        )
+        sent = [Envelope(self.node_id, node_id, forward)]
+        if hint.unanswered >= SILENT_PACKETS and now - hint.since >= FLOW_SILENT_S:
+            sent += self._probe(node_id, flow_id, route.service_id, hint, now=now)
+        return sent
+
+    def returned(
+        self, sender: NodeId, message: PacketReturn, *, now: float
+    ) -> list[Envelope]:
+        """Passes an upstream's packet to the caller.
+
+        Packets of an agent whose service does not hold the address are
+        refused: the caller must not get another service's data.
+        """
+        address = message.address
+        route = self.routes.get(address) or self._route(address, now=now)
+        if route is None or not sender.startswith(route.agent_prefix):
+            return self._refuse(ErrorKind.WRONG_SERVICE)
+        self._heard(sender, now=now)
+        hint = route.hints.entries.get(message.flow_id)
+        if hint is not None:
+            hint.seen = now
+            hint.unanswered = 0
+        out = PacketOut(address=address, caller=message.caller, data=message.data)
+        sent = [Envelope(self.node_id, LOCAL_CALLER, out)]
+        if self.draining:
+            sent += self._tell_leaving(sender, message, now=now)
+        return sent
+
+    # Messages about flows.
+
+    def hinted(
+        self, sender: NodeId, message: FlowHint, *, now: float
+    ) -> list[Envelope]:
+        """Takes the owner of a flow from its agent."""
+        service_id = self.config.by_address.get(message.address)
+        expected = agent_node(message.service_id, message.owner)
+        if service_id != message.service_id or sender != expected:
+            return self._refuse(ErrorKind.WRONG_SERVICE)
+        self._heard(sender, now=now)
+        hints = self._hints_of(message.service_id)
+        if hints is None:
+            return []
+        hint = hints.entries.get(message.flow_id)
+        if hint is None or hint.owner != message.owner:
+            hint = hints.add(message.flow_id, message.owner, now=now)
+        if hint is not None:
+            hint.confirmed = True
+        return []
+
+    def reset(
+        self, sender: NodeId, message: FlowReset, *, now: float
+    ) -> list[Envelope]:
+        """Drops the hint of a flow that its agent does not hold."""
+        if not sender.startswith(f"agent/{message.service_id}/"):
+            return self._refuse(ErrorKind.WRONG_SERVICE)
+        self._heard(sender, now=now)
+        hints = self._hints_of(message.service_id)
+        if hints is None:
+            return []
+        self.health.refused(sender, message.kind, now=now)
+        hint = hints.drop(message.flow_id, message.upstream_id)
+        unknown = ANSWERS[message.kind].outcome is Outcome.UNKNOWN
+        if hint is None or not hint.confirmed or not unknown:
+            return []
+        return self._broken(message.kind)
+
+    def alive(
+        self, sender: NodeId, message: FlowAlive, *, now: float
+    ) -> list[Envelope]:
+        """Notes that an agent holds a probed flow."""
+        if not sender.startswith(f"agent/{message.service_id}/"):
+            return self._refuse(ErrorKind.WRONG_SERVICE)
+        self._heard(sender, now=now)
+        hints = self._hints_of(message.service_id)
+        hint = None if hints is None else hints.entries.get(message.flow_id)
+        if hint is not None:
+            hint.unanswered = 0
+        return []
+
+    def probed(self, sender: NodeId, message: FlowProbe) -> list[Envelope]:
+        """Tells an agent that this balancer runs."""
+        reply = FlowAlive(
+            flow_id=message.flow_id,
+            service_id=message.service_id,
+            leaving=self.draining,
+        )
+        return [Envelope(self.node_id, sender, reply)]
+
+    # Routes and first packets.
+
+    def _route(self, address: ServiceAddress, *, now: float) -> Route | None:
+        service_id = self.config.by_address.get(address)
+        service = None if service_id is None else self.config.service(service_id)
+        if service is None or service.protocol is not Protocol.UDP:
+            return None
+        partner_id = service.partner_id
+        bucket = self.limits.packet_bucket(partner_id, now=now)
+        route = self.routes[address] = Route(
+            service_id=service.service_id,
+            partner_id=partner_id,
+            generation=self.config.generation(partner_id),
+            agent_prefix=f"agent/{service.service_id}/",
+            hints=self._partner_hints(partner_id),
+            bucket=bucket,
+            reserve=NEW_WORK_RESERVE * bucket.rate,
+        )
+        return route
+
+    def _partner_hints(self, partner_id: PartnerId) -> FlowHints:
+        hints = self.hints.get(partner_id)
+        if hints is None:
+            hints = FlowHints(max_flows=self.limits.max_flows)
+            self.hints[partner_id] = hints
+        return hints
+
+    def _hints_of(self, service_id: ServiceId) -> FlowHints | None:
+        service = self.config.services.get(service_id)
+        return None if service is None else self.hints.get(service.partner_id)
+
+    def _move(
+        self, message: PacketIn, route: Route, flow_id: FlowId, *, now: float
+    ) -> list[Envelope]:
+        """Sends the packet of a flow whose agent is gone to another one."""
+        hint = route.hints.drop(flow_id)
+        sent = self._first(message, route, flow_id, now=now)
+        if hint is None or not hint.confirmed:
+            return sent
+        return sent + self._broken(ErrorKind.AGENT_SILENT)
+
+    def _first(
+        self,
+        message: PacketIn,
+        route: Route,
+        flow_id: FlowId,
+        *,
+        now: float,
+    ) -> list[Envelope]:
+        """Sends the packet of a flow without hint to the first usable agent.
+
+        Upstreams that are only unfit for new flows are still looked up; those
+        that cannot be reached are named as visited.
+        """
+        service = self.config.service(route.service_id)
+        assert service is not None
+        order = owner_order(flow_key(flow_id), service.weights())
+        usable = set(self.usable(route.service_id))
+        silent = tuple(up for up in order if self._silent(route, up, now=now))
+        target = first_usable(order, usable - set(silent))
+        if target is None:
+            return self._refuse(ErrorKind.NO_UPSTREAM)
+        if route.hints.add(flow_id, target, now=now) is None:
+            return self._refuse(ErrorKind.PARTNER_LIMIT)
+        forward = PacketForward(
+            flow_id=flow_id,
+            address=message.address,
+            caller=message.caller,
+            partner_id=route.partner_id,
+            service_id=route.service_id,
+            generation=route.generation,
+            balancer=self.node_id,
+            data=message.data,
+            visited=silent,
+            refused=tuple(up for up in order if up not in usable or up in silent),
+        )
+        receiver = agent_node(route.service_id, target)
+        return [Envelope(self.node_id, receiver, forward)]
+
+    def _silent(self, route: Route, upstream_id: UpstreamId, *, now: float) -> bool:
+        """Tells whether packets for an upstream's agent are lost."""
+        node_id = agent_node(route.service_id, upstream_id)
+        member = self.members.by_node.get(node_id)
+        if member is None or member.state is MemberState.STOPPED:
+            return True
+        heard = self.probes.heard_within(node_id, FLOW_SILENT_S, now=now)
+        suspect = member.state is MemberState.SUSPECT and not heard
+        return suspect or self.health.unreachable(node_id, now=now)
+
+    def _lost(self, node_id: NodeId, *, now: float) -> bool:
+        """Tells whether an owner is certainly gone or replied to no probe."""
+        member = self.members.by_node.get(node_id)
+        stopped = member is None or member.state is MemberState.STOPPED
+        return stopped or self.health.unreachable(node_id, now=now)
+
+    # Probes.
+
+    def _heard(self, node_id: NodeId, *, now: float) -> None:
+        self.probes.heard(node_id, now=now)
+        if node_id in self.health.outcomes:
+            self.health.heard(node_id, now=now)
+
+    def _probe(
+        self,
+        node_id: NodeId,
+        flow_id: FlowId,
+        service_id: ServiceId,
+        hint: Hint,
+        *,
+        now: float,
+    ) -> list[Envelope]:
+        """Asks an agent for a flow whose packets get no answers.
+
+        The agent must reply in any case; if it does not, all its flows move.
+        """
+        probe = FlowProbe(flow_id=flow_id, service_id=service_id)
+        if node_id in self.probes.pending or not self.probe_budget.take(now=now):
+            return []
+        self.probes.start(node_id, probe, now=now)
+        hint.unanswered = 0
+        return [Envelope(self.node_id, node_id, probe)]
+
+    def _tell_leaving(
+        self, node_id: NodeId, message: PacketReturn, *, now: float
+    ) -> list[Envelope]:
+        told = self.told_leaving.get(node_id)
+        if told is not None and now - told < LEAVING_NOTICE_S:
+            return []
+        self.told_leaving[node_id] = now
+        alive = FlowAlive(
+            flow_id=message.flow_id, service_id=message.service_id, leaving=True
+        )
+        return [Envelope(self.node_id, node_id, alive)]
+
+    def _broken(self, kind: ErrorKind) -> list[Envelope]:
+        return self._count(counter_name(kind, action="broken"))
+
+    def _refuse(self, kind: ErrorKind) -> list[Envelope]:
+        return self._count(counter_name(kind))
+
+    def _count(self, name: str) -> list[Envelope]:
+        return [Envelope(self.node_id, LOCAL_METRICS, Count(name=name))]
--- /dev/null
+++ b/src/bramleydyke/core/flows.py
@@ -0,0 +1,363 @@
+"""The agent's side of datagram flows: delivery, lookup and admission.
+
+An agent that does not hold a flow passes the packet to every agent that may,
+and only then to the first one that admits it. An agent that was asked points
+to the agent that will admit the flow, so that two packets which take different
+ways at the same time end up at one agent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import FLOW_SETTLE_S, MAX_HOPS
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.flow_hints import flow_key
+from bramleydyke.core.flow_table import Flow, FlowTable, Silence
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.return_path import ReturnPath
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import (
+    Count,
+    Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
+    FlowReset,
+    PacketAnswered,
+    PacketDeliver,
+    PacketForward,
+    PacketReturn,
+)
+from bramleydyke.types import (
+    LOCAL_METRICS,
+    LOCAL_UPSTREAM,
+    FlowId,
+    NodeId,
+    PartnerId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+SETTLING_LOOKUPS = 4
+"""Agents of the owner order that are asked while this one has just started."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FlowServer:
+    """Datagram flows at one agent.
+
+    Attributes:
+        gone: Tells whether another upstream's agent cannot be reached.
+        started_at: Start of this incarnation. Other agents may have admitted
+            flows while this one was away, so at first it asks more of them.
+        table: Flows held here.
+        returns: Balancers that answers go through.
+    """
+
+    node_id: NodeId
+    partner_id: PartnerId
+    service_id: ServiceId
+    upstream_id: UpstreamId
+    started_at: float
+    config: ConfigStore
+    gone: Callable[[UpstreamId], bool]
+    returns: ReturnPath
+    table: FlowTable = field(default_factory=FlowTable)
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        times = (self.table.timers.next(), self.returns.probes.timers.next())
+        return min((at for at in times if at is not None), default=None)
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Ends idle flows and repeats probes."""
+        ended = [
+            self._to_upstream(flow.flow_id, ErrorKind.CANCELLED)
+            for flow in self.table.expire(now=now)
+        ]
+        return ended + self.returns.wake(now=now)
+
+    def idle(self) -> bool:
+        """Tells whether no flow is held here."""
+        return not self.table.flows
+
+    # Packets.
+
+    def forwarded(self, packet: PacketForward, *, now: float) -> list[Envelope]:
+        """Delivers a packet, passes it on, or admits its flow."""
+        if (packet.service_id, packet.partner_id) != (self.service_id, self.partner_id):
+            return self._refuse(packet, ErrorKind.WRONG_SERVICE)
+        self.returns.heard(packet.balancer, now=now)
+        flow = self.table.flows.get(packet.flow_id)
+        if flow is None:
+            return self._find(packet, now=now)
+        if (flow.address, flow.caller) != (packet.address, packet.caller):
+            return self._refuse(packet, ErrorKind.TABLE_FULL)
+        return self._deliver(flow, packet, now=now)
+
+    def answered(self, message: PacketAnswered, *, now: float) -> list[Envelope]:
+        """Sends an upstream's packet back through a balancer."""
+        flow = self.table.flows.get(message.flow_id)
+        if flow is None or message.binding > flow.binding:
+            return self._count(ErrorKind.FORGOTTEN)
+        self.table.answered(flow, now=now)
+        balancer = self.returns.choose(flow.balancer)
+        answer = PacketReturn(
+            flow_id=flow.flow_id,
+            service_id=self.service_id,
+            address=flow.address,
+            caller=flow.caller,
+            data=message.data,
+        )
+        sent = [Envelope(self.node_id, balancer, answer)]
+        return sent + self.returns.probe(balancer, flow.flow_id, now=now)
+
+    def _deliver(
+        self, flow: Flow, packet: PacketForward, *, now: float
+    ) -> list[Envelope]:
+        """Sends a packet of a held flow to the upstream."""
+        silence = self.table.delivered(flow, packet.balancer, now=now)
+        if silence is Silence.ENDED:
+            return self._end_silent(flow, packet)
+        sent = []
+        if silence is Silence.REBIND:
+            sent += self._count(ErrorKind.FLOW_SILENT, action="retried")
+        deliver = PacketDeliver(
+            flow_id=flow.flow_id,
+            binding=flow.binding,
+            address=flow.address,
+            caller=flow.caller,
+            data=packet.data,
+        )
+        sent.append(Envelope(self.node_id, LOCAL_UPSTREAM, deliver))
+        if packet.hinted != self.upstream_id:
+            sent.append(self._hint(flow, packet.balancer))
+        return sent
+
+    def _end_silent(self, flow: Flow, packet: PacketForward) -> list[Envelope]:
+        """Ends a flow that new sockets did not revive.
+
+        Its next packet is admitted at another agent, if there is one.
+        """
+        kind = ErrorKind.FLOW_SILENT
+        return [
+            self._reset(packet.balancer, flow.flow_id, self.upstream_id, kind),
+            self._to_upstream(flow.flow_id, kind),
+        ]
+
+    # Lookup and admission.
+
+    def _find(self, packet: PacketForward, *, now: float) -> list[Envelope]:
+        """Passes the packet of an unknown flow on, or admits the flow."""
+        packet = self._planned(packet, now=now)
+        visited = (*packet.visited, self.upstream_id)
+        pointer = self.table.pointers.get(packet.flow_id)
+        if pointer is not None and self._asks(pointer, visited):
+            return self._pass(packet, pointer, visited=visited)
+        for upstream_id in packet.lookup:
+            if self._asks(upstream_id, visited):
+                self._point_to_candidate(packet)
+                return self._pass(packet, upstream_id, visited=visited)
+        return self._admit_somewhere(packet, visited, now=now)
+
+    def _planned(self, packet: PacketForward, *, now: float) -> PacketForward:
+        """Returns the packet with the plan of the newest generation.
+
+        A packet that another agent has planned by a newer configuration than
+        this agent's keeps its plan.
+        """
+        generation = self.config.generation(self.partner_id)
+        if packet.admit and packet.generation > generation:
+            return packet
+        service = self.config.service(self.service_id)
+        if service is None:
+            return packet
+        key = flow_key(packet.flow_id)
+        order = owner_order(key, service.weights())
+        earlier = (
+            owner_order(key, weights)[:1]
+            for weights in self.config.earlier_owners(self.service_id)
+        )
+        lookups = 1 if now - self.started_at >= FLOW_SETTLE_S else SETTLING_LOOKUPS
+        chain = [*order[:lookups], *(up for first in earlier for up in first)]
+        return msgspec.structs.replace(
+            packet,
+            generation=generation,
+            lookup=tuple(dict.fromkeys(chain)),
+            admit=tuple(order),
+        )
+
+    def _asks(self, upstream_id: UpstreamId, visited: tuple[UpstreamId, ...]) -> bool:
+        return upstream_id not in visited and not self.gone(upstream_id)
+
+    def _candidates(self, packet: PacketForward) -> Iterable[UpstreamId]:
+        return (
+            upstream_id
+            for upstream_id in packet.admit
+            if upstream_id not in packet.refused
+            and (upstream_id == self.upstream_id or not self.gone(upstream_id))
+        )
+
+    def _point_to_candidate(self, packet: PacketForward) -> None:
+        """Points to the agent that will admit a flow which nobody holds."""
+        candidate = next(iter(self._candidates(packet)), None)
+        if candidate is not None and candidate != self.upstream_id:
+            self.table.point(packet.flow_id, candidate)
+
+    def _admit_somewhere(
+        self, packet: PacketForward, visited: tuple[UpstreamId, ...], *, now: float
+    ) -> list[Envelope]:
+        """Admits a flow that no agent holds, here or at the next candidate.
+
+        A flow that was silent here is admitted again if no other candidate is
+        left.
+        """
+        kind = ErrorKind.NO_UPSTREAM if packet.admit else ErrorKind.STALE_GENERATION
+        sent: list[Envelope] = []
+        for upstream_id in self._candidates(packet):
+            if upstream_id != self.upstream_id:
+                self.table.point(packet.flow_id, upstream_id)
+                return sent + self._pass(packet, upstream_id, visited=visited)
+            refusal = self.table.refusal(packet.flow_id, now=now)
+            if refusal is None:
+                return self._admit(packet, now=now)
+            kind = refusal
+            refused = (*packet.refused, self.upstream_id)
+            packet = msgspec.structs.replace(packet, refused=refused)
+            sent += self._count(refusal)
+            if refusal is ErrorKind.DRAINING:
+                sent.append(
+                    self._reset(
+                        packet.balancer, packet.flow_id, self.upstream_id, refusal
+                    )
+                )
+        if kind is ErrorKind.FLOW_SILENT:
+            return sent + self._admit(packet, now=now)
+        return sent + self._refuse(packet, kind)
+
+    def _admit(self, packet: PacketForward, *, now: float) -> list[Envelope]:
+        flow = Flow(
+            flow_id=packet.flow_id,
+            address=packet.address,
+            caller=packet.caller,
+            balancer=packet.balancer,
+            seen=now,
+            since=now,
+            displaced=packet.admit[0] != self.upstream_id,
+        )
+        self.table.admit(flow, now=now)
+        sent = []
+        if packet.hinted is not None:
+            kind = ErrorKind.FORGOTTEN
+            sent.append(self._reset(packet.balancer, flow.flow_id, packet.hinted, kind))
+        asked = {*packet.visited, packet.admit[0]} - {self.upstream_id}
+        sent += [
+            self._hint(flow, agent_node(self.service_id, upstream_id))
+            for upstream_id in sorted(asked)
+            if not self.gone(upstream_id)
+        ]
+        unhinted = msgspec.structs.replace(packet, hinted=None)
+        return sent + self._deliver(flow, unhinted, now=now)
+
+    def _pass(
+        self,
+        packet: PacketForward,
+        upstream_id: UpstreamId,
+        *,
+        visited: tuple[UpstreamId, ...],
+    ) -> list[Envelope]:
+        if packet.hops >= MAX_HOPS:
+            return self._refuse(packet, ErrorKind.HOP_LIMIT)
+        passed = msgspec.structs.replace(
+            packet, hops=packet.hops + 1, visited=tuple(dict.fromkeys(visited))
+        )
+        receiver = agent_node(self.service_id, upstream_id)
+        return [Envelope(self.node_id, receiver, passed)]
+
+    # Messages about flows.
+
+    def hinted(self, sender: NodeId, message: FlowHint) -> list[Envelope]:
+        """Notes which other agent holds a flow."""
+        expected = agent_node(self.service_id, message.owner)
+        if message.service_id != self.service_id or sender != expected:
+            return self._count(ErrorKind.WRONG_SERVICE)
+        if message.flow_id not in self.table.flows:
+            self.table.point(message.flow_id, message.owner)
+        return []
+
+    def probed(self, sender: NodeId, message: FlowProbe) -> list[Envelope]:
+        """Tells a balancer whether this agent holds a flow.
+
+        The balancer asks because it sees no answers: a pointer that led its
+        packets elsewhere is of no use.
+        """
+        flow_id = message.flow_id
+        if message.service_id != self.service_id:
+            return self._count(ErrorKind.WRONG_SERVICE)
+        if flow_id in self.table.flows:
+            alive = FlowAlive(flow_id=flow_id, service_id=self.service_id)
+            return [Envelope(self.node_id, sender, alive)]
+        self.table.pointers.pop(flow_id, None)
+        return [self._reset(sender, flow_id, self.upstream_id, ErrorKind.FORGOTTEN)]
+
+    def alive(
+        self, sender: NodeId, message: FlowAlive, *, now: float
+    ) -> list[Envelope]:
+        """Takes a balancer's reply to a probe."""
+        self.returns.alive(sender, message, now=now)
+        return []
+
+    def peer_started(self, upstream_id: UpstreamId) -> list[Envelope]:
+        """Points an agent that has come back to flows it may be asked for."""
+        service = self.config.service(self.service_id)
+        weights = {} if service is None else service.weights()
+        receiver = agent_node(self.service_id, upstream_id)
+        return [
+            self._hint(flow, receiver)
+            for flow in self.table.flows.values()
+            if flow.displaced
+            and owner_order(flow_key(flow.flow_id), weights)[:1] == [upstream_id]
+        ]
+
+    # Replies.
+
+    def _hint(self, flow: Flow, receiver: NodeId) -> Envelope:
+        hint = FlowHint(
+            flow_id=flow.flow_id,
+            service_id=self.service_id,
+            address=flow.address,
+            caller=flow.caller,
+            owner=self.upstream_id,
+        )
+        return Envelope(self.node_id, receiver, hint)
+
+    def _reset(
+        self,
+        receiver: NodeId,
+        flow_id: FlowId,
+        upstream_id: UpstreamId,
+        kind: ErrorKind,
+    ) -> Envelope:
+        reset = FlowReset(
+            flow_id=flow_id,
+            service_id=self.service_id,
+            upstream_id=upstream_id,
+            kind=kind,
+        )
+        return Envelope(self.node_id, receiver, reset)
+
+    def _to_upstream(self, flow_id: FlowId, kind: ErrorKind) -> Envelope:
+        return self._reset(LOCAL_UPSTREAM, flow_id, self.upstream_id, kind)
+
+    def _refuse(self, packet: PacketForward, kind: ErrorKind) -> list[Envelope]:
+        reset = self._reset(packet.balancer, packet.flow_id, self.upstream_id, kind)
+        return [reset, *self._count(kind)]
+
+    def _count(self, kind: ErrorKind, *, action: str = "refused") -> list[Envelope]:
+        count = Count(name=counter_name(kind, action=action))
+        return [Envelope(self.node_id, LOCAL_METRICS, count)]
--- /dev/null
+++ b/src/bramleydyke/core/health.py
@@ -0,0 +1,196 @@
+"""Health of upstreams as one balancer sees it, mostly from its own outcomes.
+
+An upstream's reports may lag or mislead, so answers and failures that this
+balancer saw weigh more. At least ``HEALTH_FLOOR`` of a service stays in use:
+when more looks unhealthy, the detector is the likelier fault.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.constants import HEALTH_FLOOR
+from bramleydyke.core.members import Members
+from bramleydyke.errors import ErrorKind
+from bramleydyke.types import (
+    Incarnation,
+    MemberState,
+    NodeId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+EJECT_FAILURES = 5
+"""Failures in a row after which an upstream is ejected."""
+
+EJECT_SCORE = 0.5
+"""Share of answers below which an upstream is ejected."""
+
+SCORE_WEIGHT = 0.1
+"""Weight of the newest outcome in the share of answers."""
+
+EJECT_S = 10.0
+"""Duration of a first ejection; it doubles with each one that follows."""
+
+EJECT_CAP_S = 80.0
+"""Longest ejection."""
+
+SLOW_START_S = 10.0
+"""Time in which a cold or returned upstream reaches its full weight."""
+
+SLOW_START_SHARE = 0.1
+"""Share of its weight that a cold or returned upstream gets at first."""
+
+ANSWER_VALID_S = 3.0
+"""An answer that is not older than this outweighs a suspicion by others."""
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """What one balancer saw of one upstream."""
+
+    score: float = 1.0
+    """Decayed share of answers among the outcomes."""
+
+    failures: int = 0
+    """Failures since the last answer."""
+
+    answered_at: float = -math.inf
+    ejected_until: float = -math.inf
+    ejections: int = 0
+    """Ejections that no longer spell of health has followed."""
+
+    silent: bool = False
+    """True if it answered no probe or offer until the ejection ends."""
+
+
+@dataclass(slots=True)
+class HealthView:
+    """Outcomes, ejections and slow starts of all upstreams.
+
+    Everything is kept for each agent, whose id names one partner's service,
+    so the partners share no state.
+
+    Attributes:
+        members: Reports about the agents; draining is noted there, so that
+            it spreads with the announcements.
+        outcomes: What was seen of each agent.
+        starts: Incarnation of each agent and when it was first seen.
+    """
+
+    members: Members
+    outcomes: dict[NodeId, Outcomes] = field(default_factory=dict)
+    starts: dict[NodeId, tuple[Incarnation, float]] = field(default_factory=dict)
+
+    def answered(self, node_id: NodeId, *, now: float) -> None:
+        """Notes an answer."""
+        seen = self.outcomes.get(node_id)
+        if seen is None:
+            seen = self.outcomes[node_id] = Outcomes()
+        seen.failures = 0
+        seen.score += (1.0 - seen.score) * SCORE_WEIGHT
+        seen.answered_at = now
+        self.heard(node_id, now=now)
+        if now - seen.ejected_until > EJECT_CAP_S:
+            seen.ejections = 0
+
+    def heard(self, node_id: NodeId, *, now: float) -> None:
+        """Notes that an agent replied, whatever it said."""
+        seen = self.outcomes.get(node_id)
+        if seen is not None and seen.silent:
+            seen.silent = False
+            seen.ejected_until = min(seen.ejected_until, now)
+
+    def failed(self, node_id: NodeId, *, now: float) -> None:
+        """Notes a failure at an upstream."""
+        seen = self.outcomes.setdefault(node_id, Outcomes())
+        seen.failures += 1
+        seen.score -= seen.score * SCORE_WEIGHT
+        if seen.failures >= EJECT_FAILURES or seen.score < EJECT_SCORE:
+            self._eject(seen, now=now)
+
+    def silent(self, node_id: NodeId, *, now: float) -> None:
+        """Notes that an agent gave no reply to repeated messages."""
+        seen = self.outcomes.setdefault(node_id, Outcomes())
+        seen.silent = True
+        self._eject(seen, now=now)
+
+    def refused(self, node_id: NodeId, kind: ErrorKind, *, now: float) -> None:
+        """Notes a refusal; only a failed upstream counts as a failure."""
+        self.heard(node_id, now=now)
+        if kind is ErrorKind.DRAINING:
+            self.drained(node_id, now=now)
+        elif kind in (ErrorKind.UPSTREAM_FAILED, ErrorKind.FLOW_SILENT):
+            self.failed(node_id, now=now)
+
+    def drained(self, node_id: NodeId, *, now: float) -> None:
+        """Notes that an agent is leaving, ahead of its announcement."""
+        known = self.members.by_node.get(node_id)
+        if known is not None:
+            draining = msgspec.structs.replace(known, state=MemberState.DRAINING)
+            self.members.merge(draining, now=now)
+
+    def unreachable(self, node_id: NodeId, *, now: float) -> bool:
+        """Tells whether messages to an agent are lost, as far as is known."""
+        seen = self.outcomes.get(node_id)
+        return seen is not None and seen.silent and now < seen.ejected_until
+
+    def usable(self, service_id: ServiceId, *, now: float) -> list[UpstreamId]:
+        """Returns the upstreams that may take new work."""
+        present = list(
+            self.members.upstreams(service_id, MemberState.RUNNING, MemberState.SUSPECT)
+        )
+        grades = {
+            upstream_id: self._grade(agent_node(service_id, upstream_id), now=now)
+            for upstream_id in present
+        }
+        bad = sorted(
+            (upstream_id for upstream_id in present if grades[upstream_id] > 0),
+            key=lambda upstream_id: (-grades[upstream_id], upstream_id),
+        )
+        removable = len(present) - math.ceil(len(present) * HEALTH_FLOOR)
+        removed = set(bad[:removable])
+        return [upstream_id for upstream_id in present if upstream_id not in removed]
+
+    def weight_factor(self, node_id: NodeId, *, now: float) -> float:
+        """Returns the share of its weight that an upstream gets now."""
+        start = max(self._started_at(node_id, now=now), self._returned_at(node_id, now))
+        return min(
+            1.0,
+            SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * (now - start) / SLOW_START_S,
+        )
+
+    def _eject(self, seen: Outcomes, *, now: float) -> None:
+        """Ejects an upstream, unless it is ejected already."""
+        if now < seen.ejected_until:
+            return
+        seen.ejected_until = now + min(EJECT_CAP_S, EJECT_S * 2.0**seen.ejections)
+        seen.ejections += 1
+        seen.failures = 0
+        seen.score = 1.0
+
+    def _grade(self, node_id: NodeId, *, now: float) -> int:
+        """Returns 0 for a healthy agent; a larger value is worse."""
+        seen = self.outcomes.get(node_id, _UNSEEN)
+        if now < seen.ejected_until:
+            return 3 if seen.silent else 2
+        suspect = self.members.by_node[node_id].state is MemberState.SUSPECT
+        return int(suspect and now - seen.answered_at > ANSWER_VALID_S)
+
+    def _started_at(self, node_id: NodeId, *, now: float) -> float:
+        incarnation = self.members.incarnation(node_id)
+        known = self.starts.get(node_id)
+        if known is None or known[0] != incarnation:
+            known = self.starts[node_id] = (incarnation, now)
+        return known[1]
+
+    def _returned_at(self, node_id: NodeId, now: float) -> float:
+        until = self.outcomes.get(node_id, _UNSEEN).ejected_until
+        return min(until, now)
+
+
+_UNSEEN = Outcomes()
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from bramleydyke.constants import (
     ACCEPTED_POLL_S,
@@ -98,6 +99,13 @@
 """Told how and when a placement ended: the answer, or why there is none."""
 
 
+class Silent(Protocol):
+    """Told that an agent did not reply to repeated offers."""
+
+    def __call__(self, node_id: NodeId, *, now: float) -> None:
+        """Notes the agent."""
+
+
 @dataclass(slots=True, kw_only=True)
 class Placer:
     """All requests that one process is placing.
@@ -108,6 +116,7 @@
         usable: Upstreams of a service that may take new work.
         weights: Weights of the upstreams that a request may go to at a time.
         ended: Called at the end of each placement.
+        silent: Told of agents that did not reply to repeated offers.
         pending: Placements that have not ended, by number.
     """
 
@@ -117,6 +126,7 @@
     weights: Callable[[Placement, float], dict[UpstreamId, float]]
     ended: Ended
     random_source: random.Random
+    silent: Silent | None = None
     load: LoadView = field(default_factory=LoadView)
     budgets: dict[ServiceId, RetryBudget] = field(default_factory=dict)
     pending: dict[int, Placement] = field(default_factory=dict)
@@ -320,6 +330,7 @@
             self._fill(placement, now=now)
             return self._next(placement, now=now)
         placement.silent += 1
+        self._note_silence(placement, now=now)
         if self._lost(placement):
             return self._after_loss(placement, ErrorKind.AGENT_SILENT, now=now)
         counted = self._count(ErrorKind.AGENT_SILENT, "retried")
@@ -344,6 +355,11 @@
         sent = [Envelope(self.node_id, node_id, cancel)]
         return sent + self._end(placement, ErrorKind.AGENT_SILENT, now=now)
 
+    def _note_silence(self, placement: Placement, *, now: float) -> None:
+        node_id = self._node(placement)
+        if self.silent and node_id and placement.silent == SILENT_OFFERS:
+            self.silent(node_id, now=now)
+
     def _lost(self, placement: Placement) -> bool:
         """Tells whether waiting for the agent any longer is useless."""
         node_id = self._node(placement)
--- /dev/null
+++ b/src/bramleydyke/core/probes.py
@@ -0,0 +1,61 @@
+"""Probes of other processes, repeated until a reply or counted as silence."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import PROBE_TIMEOUT_S, PROBE_TRIES
+from bramleydyke.core.timers import Timers
+from bramleydyke.messages import FlowProbe
+from bramleydyke.types import NodeId
+
+
+@dataclass(slots=True)
+class _Pending:
+    probe: FlowProbe
+    tries: int = 1
+
+
+@dataclass(slots=True)
+class Probes:
+    """At most one unanswered probe of each process.
+
+    Attributes:
+        heard_at: Time of the last message from each process.
+        pending: Probes without a reply.
+    """
+
+    heard_at: dict[NodeId, float] = field(default_factory=dict)
+    pending: dict[NodeId, _Pending] = field(default_factory=dict)
+    timers: Timers[NodeId] = field(default_factory=Timers)
+
+    def heard(self, node_id: NodeId, *, now: float) -> None:
+        """Notes a message from a process, which ends its probe."""
+        self.heard_at[node_id] = now
+        if node_id in self.pending:
+            del self.pending[node_id]
+            self.timers.cancel(node_id)
+
+    def heard_within(self, node_id: NodeId, seconds: float, *, now: float) -> bool:
+        """Tells whether a process sent a message lately."""
+        heard_at = self.heard_at.get(node_id)
+        return heard_at is not None and now - heard_at < seconds
+
+    def start(self, node_id: NodeId, probe: FlowProbe, *, now: float) -> None:
+        """Notes that a first probe is sent to a process."""
+        self.pending[node_id] = _Pending(probe)
+        self.timers.set(node_id, now + PROBE_TIMEOUT_S)
+
+    def due(self, *, now: float) -> tuple[list[tuple[NodeId, FlowProbe]], list[NodeId]]:
+        """Returns the probes to repeat, and the processes that are silent."""
+        repeated, silent = [], []
+        for node_id in self.timers.pop_due(now):
+            pending = self.pending[node_id]
+            if pending.tries >= PROBE_TRIES:
+                del self.pending[node_id]
+                silent.append(node_id)
+                continue
+            pending.tries += 1
+            self.timers.set(node_id, now + PROBE_TIMEOUT_S)
+            repeated.append((node_id, pending.probe))
+        return repeated, silent
--- a/src/bramleydyke/errors.py
+++ b/src/bramleydyke/errors.py
@@ -111,6 +111,6 @@
 
     Args:
         kind: Reason of the refusal or retry.
-        action: ``refused`` or ``retried``.
+        action: ``refused``, ``retried``, ``broken`` or the like.
     """
     return f"{action}.{kind.value}"
--- /dev/null
+++ b/tests/property/test_flows.py
@@ -0,0 +1,296 @@
+"""Datagram flows over changes of configuration, agents and balancers."""
+
+from __future__ import annotations
+
+from flow_network import ADDRESS, PARTNER, SERVICE, FlowNetwork
+from hypothesis import given, settings, strategies as st
+
+from bramleydyke.constants import AGENT_FLOWS, FLOW_SETTLE_S
+from bramleydyke.core.flow_hints import flow_id_of
+from bramleydyke.messages import (
+    Envelope,
+    FlowHint,
+    PacketAnswered,
+    PacketForward,
+    PacketIn,
+    PacketReturn,
+)
+from bramleydyke.types import (
+    LOCAL_CALLER,
+    CallerAddress,
+    Generation,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+CALLERS = [f"10.0.0.{index}:5000" for index in range(12)]
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("weight"), st.integers(0, 4), st.sampled_from([0.5, 2, 4])),
+        st.tuples(st.just("remove"), st.integers(0, 4), st.none()),
+        st.tuples(st.just("drain"), st.integers(0, 4), st.none()),
+        st.tuples(st.just("uneven"), st.integers(0, 4), st.integers(0, 2**8 - 1)),
+        st.tuples(st.just("kill"), st.integers(0, 2), st.none()),
+        st.tuples(st.just("join"), st.integers(0, 2), st.none()),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+def _apply(network: FlowNetwork, weights: dict[UpstreamId, float], step: tuple) -> None:
+    action, index, value = step
+    name = UpstreamId(f"u{index}")
+    if action == "weight":
+        weights[name] = float(value)
+        network.configure(weights)
+    elif action == "remove" and len(weights) > 1:
+        weights.pop(name, None)
+        network.configure(weights)
+    elif action == "drain" and index < 4:
+        network.drain(name)
+    elif action == "uneven":
+        weights[name] = weights.get(name, 1.0) * 2.0
+        chosen = {node for at, node in enumerate(network.nodes) if value >> at & 1}
+        network.configure(weights, only=chosen)
+    elif action == "kill" and len(network.dead) < 2:
+        network.dead.add(network.balancers[index])
+    elif action == "join":
+        network.dead.discard(network.balancers[index])
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(steps=STEPS, spray=st.randoms(use_true_random=False))
+def test_planned_changes_break_no_flow(steps: list[tuple], spray) -> None:
+    """Guards against a flow that moves when balancers or owners change."""
+    network = FlowNetwork(upstreams=5, balancers=3)
+    weights = {UpstreamId(f"u{index}"): 1.0 for index in range(5)}
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    for number, step in enumerate(steps):
+        _apply(network, weights, step)
+        network.sleep(0.5)
+        live = [at for at, b in enumerate(network.balancers) if b not in network.dead]
+        late = f"10.1.0.{number}:5000"
+        owner = network.packet(late, via=spray.choice(live))
+        home |= {} if owner is None else {late: owner}
+        for caller, owner in home.items():
+            assert network.packet(caller, via=spray.choice(live)) == owner, step
+    assert not [name for name in network.counts if name.startswith("broken.")]
+
+
+def test_flow_is_found_at_its_earlier_owner_by_another_balancer() -> None:
+    """Guards against a lookup that stops at the new owner."""
+    network = FlowNetwork(upstreams=3, balancers=2)
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    network.configure({UpstreamId(f"u{index}"): 1.0 for index in range(1, 4)})
+    network.start_agent(UpstreamId("u3"))
+    network.sleep(FLOW_SETTLE_S + 1)
+    assert {network.packet(caller, via=1) for caller in CALLERS} == set(home.values())
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+def test_restarted_agent_admits_again_and_the_break_is_counted() -> None:
+    """Guards against a flow that stays with an agent which forgot it."""
+    network = FlowNetwork(upstreams=1)
+    network.packet(CALLERS[0])
+    network.packet(CALLERS[0])
+    network.start_agent(UpstreamId("u0"), incarnation=2)
+    assert network.packet(CALLERS[0]) == "u0"
+    assert network.counts["broken.forgotten"] == 1
+
+
+def test_flow_admitted_elsewhere_is_found_after_the_owner_comes_back() -> None:
+    """Guards against a second owner when an agent returns after an absence."""
+    network = FlowNetwork(upstreams=2, balancers=2)
+    network.drain(UpstreamId("u0"))
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    assert set(home.values()) == {"u1"}
+    network.start_agent(UpstreamId("u0"), incarnation=2)
+    network.sleep(FLOW_SETTLE_S + 1)
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+def test_flow_admitted_elsewhere_is_found_when_hints_to_the_owner_are_lost() -> None:
+    """Guards against a second owner when a returned agent lacks pointers."""
+    network = FlowNetwork(upstreams=2, balancers=2)
+    network.drain(UpstreamId("u0"))
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    network.lost_types = {FlowHint}
+    network.start_agent(UpstreamId("u0"), incarnation=2)
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+def test_flow_admitted_elsewhere_is_found_when_the_drain_ends() -> None:
+    """Guards against a second owner when an agent takes new work again."""
+    network = FlowNetwork(upstreams=2, balancers=2)
+    network.drain(UpstreamId("u0"))
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    network.drain(UpstreamId("u0"), draining=False)
+    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    for balancer in network.balancers:
+        network.send(Envelope(agent.node_id, balancer, agent.announcement))
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+def test_flow_is_found_when_one_balancer_wrongly_skipped_its_first_owner() -> None:
+    """Guards against a second owner after a suspicion that others lack."""
+    network = FlowNetwork(upstreams=2, balancers=2)
+    first = network.nodes[network.balancers[0]]
+    node_id = agent_node(SERVICE, UpstreamId("u0"))
+    first.health.silent(node_id, now=network.now)
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    assert set(home.values()) == {"u1"}
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 2**32), drained=st.booleans(), known=st.integers(0, 127))
+def test_crossing_first_packets_end_at_one_agent(
+    seed: int, drained: bool, known: int
+) -> None:
+    """Guards against a flow split between agents of two generations."""
+    network = FlowNetwork(upstreams=4, balancers=3, seed=seed)
+    weights = {UpstreamId(f"u{index}"): 1.0 + 3.0 * (index == 3) for index in range(4)}
+    network.configure(
+        weights, only={node for at, node in enumerate(network.nodes) if known >> at & 1}
+    )
+    if drained:
+        network.drain(UpstreamId("u3"))
+    network.crossed = True
+    packets = [
+        Envelope(
+            LOCAL_CALLER,
+            balancer,
+            PacketIn(address=ADDRESS, caller=CallerAddress(caller), data=b"x"),
+        )
+        for caller in CALLERS
+        for balancer in network.balancers
+    ]
+    network.send_all(packets)
+    network.configure(weights)
+    for caller in CALLERS:
+        owners = {network.packet(caller, via=via) for via in range(3)}
+        assert len(owners) == 1 and None not in owners
+
+
+def test_silent_agent_is_found_by_probes_and_its_flows_move() -> None:
+    """Guards against flows that stay with an agent that died unannounced."""
+    network = FlowNetwork(upstreams=3)
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    gone = UpstreamId("u1")
+    network.dead.add(agent_node(SERVICE, gone))
+    for _ in range(8):
+        for caller in CALLERS:
+            network.packet(caller)
+        network.sleep(1.0)
+    after = {caller: network.packet(caller) for caller in CALLERS}
+    assert gone in home.values()
+    assert all(
+        after[caller] == owner if owner != gone else after[caller] not in (gone, None)
+        for caller, owner in home.items()
+    )
+    broken = sum(owner == gone for owner in home.values())
+    assert network.counts["broken.agent_silent"] == broken
+
+
+def test_flow_silent_at_the_upstream_gets_a_new_socket_then_another_agent() -> None:
+    """Guards against a flow whose path state is lost while others work."""
+    network = FlowNetwork(upstreams=2)
+    caller, other = CALLERS[0], CALLERS[1]
+    owner = [network.packet(caller) for _ in range(8)][-1]
+    network.mute = {(owner, caller, binding) for binding in (1, 2, 3)}
+    seen = []
+    for _ in range(30):
+        network.packet(other)
+        seen.append(network.packet(caller))
+        network.sleep(1.0)
+    assert {got[2] for got in network.delivered if got[:2] == (owner, caller)} == {
+        1,
+        2,
+        3,
+    }
+    assert seen[-1] not in (owner, None)
+    assert network.counts["broken.flow_silent"] == 1
+
+
+def test_seldom_answered_flow_is_left_alone() -> None:
+    """Guards against new sockets for flows that need no answers."""
+    network = FlowNetwork(upstreams=1)
+    caller = CALLERS[0]
+    for number in range(60):
+        network.mute = set() if number % 6 == 0 else {("u0", caller, 1)}
+        network.packet(caller)
+        network.sleep(1.0)
+    assert network.delivered[-1] == ("u0", caller, 1)
+    assert "retried.flow_silent" not in network.counts
+
+
+def test_answers_go_through_another_balancer_when_theirs_is_gone() -> None:
+    """Guards against a board that goes silent with the balancer."""
+    network = FlowNetwork(upstreams=1, balancers=2)
+    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    network.packet(CALLERS[0])
+    network.dead.add(network.balancers[0])
+    flow = next(iter(agent.flows.table.flows.values()))
+    for _ in range(6):
+        network.sleep(1.0)
+        pushed = PacketAnswered(flow_id=flow.flow_id, binding=1, data=b"price")
+        sent = agent.flows.answered(pushed, now=network.now)
+        network.send_all(sent)
+    last = [item for item in sent if isinstance(item.payload, PacketReturn)]
+    assert last[0].receiver == network.balancers[1]
+    assert network.to_callers[CALLERS[0]] > 1
+
+
+def test_full_agents_refuse_new_flows_and_keep_the_old() -> None:
+    """Guards against an unbounded table, and against evicted flows."""
+    network = FlowNetwork(upstreams=2)
+    for name in ("u0", "u1"):
+        table = network.nodes[agent_node(SERVICE, UpstreamId(name))].flows.table
+        assert table.max_flows == AGENT_FLOWS
+        table.max_flows = 4
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    held = {caller: owner for caller, owner in home.items() if owner is not None}
+    assert len(held) == 8
+    assert network.counts["refused.table_full"] >= 4
+    assert {caller: network.packet(caller) for caller in held} == held
+
+
+def test_packets_of_another_service_are_refused() -> None:
+    """Guards against traffic that crosses services in either direction."""
+    network = FlowNetwork(upstreams=1)
+    network.packet(CALLERS[0])
+    receiver = agent_node(SERVICE, UpstreamId("u0"))
+    stray = PacketForward(
+        flow_id=flow_id_of(ADDRESS, CallerAddress(CALLERS[1])),
+        address=ADDRESS,
+        caller=CallerAddress(CALLERS[1]),
+        partner_id=PARTNER,
+        service_id=ServiceId("federation/board"),
+        generation=Generation(1),
+        balancer=network.balancers[0],
+        data=b"x",
+    )
+    network.send(Envelope(network.balancers[0], receiver, stray))
+    other = agent_node(ServiceId("federation/board"), UpstreamId("u0"))
+    back = PacketReturn(
+        flow_id=stray.flow_id,
+        service_id=SERVICE,
+        address=ADDRESS,
+        caller=CallerAddress(CALLERS[0]),
+        data=b"x",
+    )
+    hint = FlowHint(
+        flow_id=stray.flow_id,
+        service_id=SERVICE,
+        address=ADDRESS,
+        caller=stray.caller,
+        owner=UpstreamId("u0"),
+    )
+    network.send(Envelope(other, network.balancers[0], back))
+    network.send(Envelope(other, network.balancers[0], hint))
+    assert len(network.delivered) == 1
+    assert network.to_callers == {CALLERS[0]: 1}
+    assert network.counts["refused.wrong_service"] == 3
