--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -10,9 +10,11 @@
 from bramleydyke.core.agent_link import AgentLink
 from bramleydyke.core.config import ConfigDelta, ConfigStore
 from bramleydyke.core.control import Handler
+from bramleydyke.core.flows import FlowServer
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_server import RequestServer
+from bramleydyke.core.return_path import ReturnPath
 from bramleydyke.messages import (
     Accepted,
     Announcement,
@@ -21,9 +23,14 @@
     CancelRequest,
     DrainOrder,
     Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
     HeartbeatReply,
     MemberDelta,
     Offer,
+    PacketAnswered,
+    PacketForward,
     RecordQuery,
     RecordReply,
     Refusal,
@@ -53,6 +60,7 @@
         requests: Requests at this upstream.
         placer: Requests that this agent places as their home.
         link: Homes, configuration and drain.
+        flows: Datagram flows of this upstream.
     """
 
     def __init__(
@@ -93,6 +101,7 @@
             members=self.members,
             seeds=balancers,
             random_source=random_source,
+            peer_learned=self._peer_learned,
             now=now,
         )
         self.placer = Placer(
@@ -116,6 +125,20 @@
             peers=self.peers,
             placer=self.placer,
         )
+        self.flows = flows = FlowServer(
+            node_id=self.node_id,
+            partner_id=partner_id,
+            service_id=service_id,
+            upstream_id=upstream_id,
+            started_at=now,
+            config=self.config,
+            gone=self.gone,
+            returns=ReturnPath(
+                node_id=self.node_id,
+                service_id=service_id,
+                home=self._balancers,
+            ),
+        )
         server, link = self.requests, self.link
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
@@ -129,6 +152,11 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            PacketForward: lambda _, msg, now: flows.forwarded(msg, now=now),
+            PacketAnswered: lambda _, msg, now: flows.answered(msg, now=now),
+            FlowHint: lambda who, msg, _: flows.hinted(who, msg),
+            FlowProbe: lambda who, msg, _: flows.probed(who, msg),
+            FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
             ConfigDelta: lambda who, msg, now: link.take(who, msg, now=now),
             Announcement: lambda _, msg, now: link.learn(msg, now=now),
             HeartbeatReply: lambda who, msg, now: link.replied(who, msg, now=now),
@@ -147,13 +175,14 @@
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
         self.members.forget_gone(before=now - MEMBER_RETENTION_S)
-        return self.requests.wake(now=now) + self.link.home.wake(now=now)
+        out = self.requests.wake(now=now) + self.flows.wake(now=now)
+        return out + self.link.home.wake(now=now)
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        requests_at = self.requests.next_wakeup()
+        parts = (self.requests.next_wakeup(), self.flows.next_wakeup())
         heartbeat_at = self.link.home.heartbeat_at
-        return heartbeat_at if requests_at is None else min(requests_at, heartbeat_at)
+        return min((heartbeat_at, *(at for at in parts if at is not None)))
 
     @property
     def announcement(self) -> Announcement:
@@ -170,7 +199,7 @@
 
     def idle(self) -> bool:
         """Tells whether a draining agent may stop."""
-        return self.requests.idle()
+        return self.requests.idle() and self.flows.idle()
 
     def peers(self, now: float) -> set[UpstreamId]:
         """Returns the other upstreams that may know a request id.
@@ -197,22 +226,46 @@
         """Returns the weights of upstreams that a keyed request may go to."""
         return self.config.settled_weights(placement.service_id, now=now)
 
+    def gone(self, upstream_id: UpstreamId) -> bool:
+        """Tells whether another upstream's agent cannot be reached."""
+        member = self.members.agent(self.service_id, upstream_id)
+        gone = (MemberState.STOPPED, MemberState.SUSPECT)
+        return member is not None and member.state in gone
+
     def _may_remember(self, upstream_id: UpstreamId, *, now: float) -> bool:
         member = self.members.agent(self.service_id, upstream_id)
         if member is None:
             return False
-        gone = member.state in (MemberState.STOPPED, MemberState.SUSPECT)
         since = self.members.changed_at.get(member.node_id, now)
-        return not gone or now - since < RECORD_RETENTION_S
+        return not self.gone(upstream_id) or now - since < RECORD_RETENTION_S
+
+    def _balancers(self) -> list[NodeId]:
+        """Returns the balancers that this agent can answer flows through."""
+        return [*sorted(self.members.balancers), *self.link.home.seeds]
+
+    def _peer_learned(
+        self, announcement: Announcement, before: Incarnation
+    ) -> list[Envelope]:
+        """Takes a newer announcement of another agent of the service."""
+        upstream_id = announcement.upstream_id
+        assert upstream_id is not None
+        if self.gone(upstream_id):
+            self.flows.table.drop_pointers(upstream_id)
+        elif announcement.incarnation > before:
+            return self.flows.peer_started(upstream_id)
+        return []
 
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
-        out = self.link.set_drain(message, now=now)
-        self.requests.draining = self.link.drain.draining
-        return out
+        return self._drained(self.link.set_drain(message, now=now))
 
     def _drain_order(
         self, sender: NodeId, order: DrainOrder, now: float
     ) -> list[Envelope]:
-        out = self.link.ordered(sender, order, now=now)
-        self.requests.draining = self.link.drain.draining
+        return self._drained(self.link.ordered(sender, order, now=now))
+
+    def _drained(self, out: list[Envelope]) -> list[Envelope]:
+        """Applies the drain state to requests and flows."""
+        draining = self.link.drain.draining
+        self.requests.draining = draining
+        self.flows.table.draining = draining
         return out
--- a/src/bramleydyke/core/agent_link.py
+++ b/src/bramleydyke/core/agent_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bramleydyke.core.config import ConfigDelta, ConfigStore
 from bramleydyke.core.config_parts import ConfigReceiver
@@ -19,12 +19,16 @@
     MemberDelta,
     SetDrain,
 )
-from bramleydyke.types import Generation, MemberState, NodeId
+from bramleydyke.types import Generation, Incarnation, MemberState, NodeId
 
 KEEP_UNLISTED_S = 30.0
 """A member that no home lists any more is kept for this long."""
 
 
+PeerLearned = Callable[[Announcement, Incarnation], list[Envelope]]
+"""Told of an agent's newer announcement, and its incarnation before."""
+
+
 class AgentLink:
     """What an agent learns from its home balancers and tells them.
 
@@ -42,8 +46,10 @@
         members: Members,
         seeds: Iterable[NodeId],
         random_source: random.Random,
+        peer_learned: PeerLearned,
         now: float,
     ) -> None:
+        self.peer_learned = peer_learned
         self.config = config
         self.members = members
         self.home = HomeLink(
@@ -85,9 +91,13 @@
         own = self.home.announcement
         if announcement.node_id == own.node_id:
             return self.home.refute(announcement, now=now)
-        if announcement.service_id in (None, own.service_id):
-            self.members.merge(announcement, now=now)
-        return []
+        if announcement.service_id not in (None, own.service_id):
+            return []
+        before = self.members.incarnation(announcement.node_id)
+        merged = self.members.merge(announcement, now=now)
+        if not merged or announcement.upstream_id is None:
+            return []
+        return self.peer_learned(announcement, before)
 
     def members_told(self, delta: MemberDelta, *, now: float) -> list[Envelope]:
         """Takes the members that a home balancer knows."""
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -8,6 +8,8 @@
 from bramleydyke.core.config import ConfigStore
 from bramleydyke.core.control import Control, Handler
 from bramleydyke.core.credentials import Credentials
+from bramleydyke.core.flow_router import FlowRouter
+from bramleydyke.core.health import HealthView
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
@@ -17,10 +19,18 @@
     Announcement,
     Answer,
     Cancelled,
+    DrainOrder,
     Envelope,
+    FlowAlive,
+    FlowHint,
+    FlowProbe,
+    FlowReset,
+    PacketIn,
+    PacketReturn,
     Refusal,
     RequestAbandoned,
     RequestArrived,
+    SetDrain,
 )
 from bramleydyke.types import (
     AvailabilityZone,
@@ -30,6 +40,7 @@
     PartnerId,
     ServiceId,
     UpstreamId,
+    agent_node,
 )
 
 
@@ -39,9 +50,13 @@
     Attributes:
         config: Configuration in force here.
         members: Agents and balancers known here.
+        health: Outcomes of the agents, as seen here.
+        limits: What each partner may use of this balancer.
         placer: Requests on their way to an agent.
         edge: Callers that wait here.
         control: Dissemination, membership, leases and status.
+        flows: Datagram flows.
+        now: Time of the last call, in seconds.
     """
 
     def __init__(
@@ -74,6 +89,9 @@
         self.incarnation = incarnation
         self.config = ConfigStore()
         self.members = Members()
+        self.health = HealthView(self.members)
+        self.limits = limits or PartnerLimits()
+        self.now = 0.0
         self.placer = Placer(
             node_id=node_id,
             members=self.members,
@@ -83,13 +101,22 @@
                 placement, result, now
             ),
             random_source=random_source,
+            silent=self.health.silent,
         )
         self.edge = RequestEdge(
             node_id=node_id,
             incarnation=incarnation,
             config=self.config,
             placer=self.placer,
-            limits=limits or PartnerLimits(),
+            limits=self.limits,
+        )
+        self.flows = flows = FlowRouter(
+            node_id=node_id,
+            config=self.config,
+            members=self.members,
+            health=self.health,
+            limits=self.limits,
+            usable=self.usable,
         )
         self.control = Control(
             announcement=Announcement(
@@ -109,13 +136,25 @@
         )
         self.now = 0.0
         self.handlers: dict[type, Handler] = {
+            PacketIn: lambda _, msg, now: flows.packet_in(msg, now=now),
+            PacketReturn: lambda who, msg, now: flows.returned(who, msg, now=now),
+            FlowHint: lambda who, msg, now: flows.hinted(who, msg, now=now),
+            FlowReset: lambda who, msg, now: flows.reset(who, msg, now=now),
+            FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
+            FlowProbe: lambda who, msg, _: flows.probed(who, msg),
             RequestArrived: lambda _, msg, now: self.edge.arrived(msg, now=now),
             RequestAbandoned: lambda _, msg, now: self.edge.abandoned(msg, now=now),
             Accepted: lambda _, msg, now: self.placer.accepted(msg, now=now),
-            Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
-            Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
+            Answer: self._answered,
+            Refusal: self._refused,
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
         } | self.control.handlers()
+        for kind in (SetDrain, DrainOrder):
+            handle = self.handlers[kind]
+            self.handlers[kind] = lambda who, msg, now, handle=handle: self._drained(
+                handle(who, msg, now)
+            )
+        self.config.listeners.append(flows.configured)
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
@@ -128,13 +167,14 @@
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
         self.now = now
-        return self.placer.wake(now=now) + self.control.wake(now=now)
+        out = self.placer.wake(now=now) + self.flows.wake(now=now)
+        return out + self.control.wake(now=now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do, in seconds."""
+        parts = (self.placer.next_wakeup(), self.flows.next_wakeup())
         control_at = self.control.next_wakeup(self.now)
-        requests_at = self.placer.next_wakeup()
-        return control_at if requests_at is None else min(requests_at, control_at)
+        return min((control_at, *(at for at in parts if at is not None)))
 
     def stop(self, *, now: float) -> list[Envelope]:
         """Announces a clean stop; the process ends after it is sent."""
@@ -146,11 +186,38 @@
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
-        return self.members.usable(service_id)
+        return self.health.usable(service_id, now=self.now)
 
     def weights(self, placement: Placement, now: float) -> dict[UpstreamId, float]:
-        """Returns the weights of the upstreams that a request may go to."""
+        """Returns the weights of the upstreams that a request may go to.
+
+        The home of a keyed request must not depend on this balancer's view.
+        """
         if placement.keyed:
             return self.config.settled_weights(placement.service_id, now=now)
-        service = self.config.service(placement.service_id)
-        return {} if service is None else service.weights()
+        return self.current_weights(placement.service_id, now=now)
+
+    def current_weights(
+        self, service_id: ServiceId, *, now: float
+    ) -> dict[UpstreamId, float]:
+        """Returns the declared weights, lowered during slow starts."""
+        service = self.config.service(service_id)
+        weights = {} if service is None else service.weights()
+        return {
+            upstream_id: weight
+            * self.health.weight_factor(agent_node(service_id, upstream_id), now=now)
+            for upstream_id, weight in weights.items()
+        }
+
+    def _answered(self, sender: NodeId, message: Answer, now: float) -> list[Envelope]:
+        self.health.answered(sender, now=now)
+        return self.placer.answered(sender, message, now=now)
+
+    def _refused(self, sender: NodeId, message: Refusal, now: float) -> list[Envelope]:
+        self.health.refused(sender, message.kind, now=now)
+        return self.placer.refused(sender, message, now=now)
+
+    def _drained(self, out: list[Envelope]) -> list[Envelope]:
+        """Applies the drain state of the control plane to the flows."""
+        self.flows.draining = self.control.drain.draining
+        return out
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -502,7 +502,8 @@
 
 def replace_revision(agent: Agent) -> Announcement:
     """Returns an announcement that overrules a suspicion."""
-    agent.announcement = msgspec.structs.replace(
-        agent.announcement, revision=agent.announcement.revision + 1
+    home = agent.link.home
+    home.announcement = msgspec.structs.replace(
+        home.announcement, revision=home.announcement.revision + 1
     )
-    return agent.announcement
+    return home.announcement
