Tell agents of home balancers that are gone; spread measurement

Cause: a home answered each heartbeat with all members of the zone for 30 s after a balancer had died, since the view for agents left out nodes that are gone while the agents still counted them. Change: the view names them too, and a view that an agent does not take is repeated every 5 s only. bench/spread.py measures the chosen way, a watch per process and a tree over 10, 50 and 200 balancers.

--- a/src/bramleydyke/bench/cores.py
+++ b/src/bramleydyke/bench/cores.py
@@ -70,7 +70,7 @@
 
     Attributes:
         objects: Value and version of each object.
-        calls: Number of calls of each kind.
+        calls: Number of calls for each first part of a path.
         down: True during an outage: calls fail at once.
         lose_replies: Writes take effect but their replies are lost.
     """
@@ -92,8 +92,8 @@
         self, caller: NodeId, message: Payload, *, now: float
     ) -> PlatformReply | None:
         """Takes a call; returns its reply, or None if none comes now."""
-        self.calls[type(message).__name__] += 1
         assert isinstance(message, PlatformRead | PlatformWrite)
+        self.calls[message.path.split("/")[0]] += 1
         if self.down:
             return PlatformReply(call=message.call, status=PlatformStatus.UNAVAILABLE)
         if isinstance(message, PlatformWrite):
@@ -249,7 +249,7 @@
             return
         if envelope is None and self._wakes.get(node_id) != self.now:
             return
-        started = time.perf_counter()
+        started = time.thread_time()
         if envelope is None:
             del self._wakes[node_id]
             out = core.wake(now=self.now)
@@ -260,7 +260,7 @@
             )
         next_at = core.next_wakeup()
         self.send(out)
-        self.usage[node_id].processor_s += time.perf_counter() - started
+        self.usage[node_id].processor_s += time.thread_time() - started
         if next_at is not None:
             self._plan_wake(node_id, next_at)
 
@@ -303,8 +303,10 @@
 
     def _reply(self, caller: NodeId, reply: PlatformReply) -> None:
         at = self.now + STORE_DELAY_S
-        envelope = Envelope(LOCAL_PLATFORM, caller, reply)
-        self._push(at, caller, envelope, _encoder.encode(reply))
+        data = _encoder.encode(reply)
+        if caller in self.usage:
+            self.usage[caller].received_bytes += len(data)
+        self._push(at, caller, Envelope(LOCAL_PLATFORM, caller, reply), data)
 
     def _push(
         self, at: float, node_id: NodeId, envelope: Envelope | None, data: bytes
--- /dev/null
+++ b/src/bramleydyke/bench/spread.py
@@ -0,0 +1,350 @@
+"""Cost and speed of the control plane as the number of balancers grows.
+
+For each size the same deployment is run with the chosen way of spreading the
+configuration and with each way that was weighed: agents and services in the
+proportion of the target, 1% loss, and balancers that die between changes.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import statistics
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.bench.cores import Core, CoreNetwork
+from bramleydyke.bench.ways import Wrap, gossip, tree, watch_per_process
+from bramleydyke.constants import WATCHERS_PER_ZONE
+from bramleydyke.core.agent import Agent
+from bramleydyke.core.balancer import Balancer
+from bramleydyke.core.config import (
+    PartnerConfig,
+    ServiceConfig,
+    UpstreamSpec,
+    full_delta,
+    next_config,
+)
+from bramleydyke.messages import Envelope, SetDrain
+from bramleydyke.types import (
+    LOCAL_PLATFORM,
+    AvailabilityZone,
+    Incarnation,
+    NodeId,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+    balancer_node,
+)
+
+SIZES = (10, 50, 200)
+"""Balancers of the measured deployments."""
+
+TARGET_NODES = 550
+AGENTS_PER_NODE = 3_800 / TARGET_NODES
+SERVICES_PER_NODE = 830 / TARGET_NODES
+ZONES = [AvailabilityZone(f"r{index // 3}-z{index % 3}") for index in range(9)]
+PARTNERS = [PartnerId("federation"), PartnerId("studio")]
+
+LOSS = 0.01
+"""Share of messages between nodes that get lost."""
+
+CHANGES = 3
+"""Changes of the configuration that are timed; nodes die after the first."""
+
+DEAD_SHARE = 0.05
+"""Share of the balancers that die after the first change."""
+
+WARM_UP_S = 6.0
+"""Time in which leases are taken and first watches are pending."""
+
+CHANGE_INTERVAL_S = 3.0
+"""Least time between changes; at the target there are 31 s between them."""
+
+IN_FORCE_LIMIT_S = 20.0
+"""Time after which a change counts as not in force."""
+
+
+@dataclass(slots=True)
+class Result:
+    """Figures of one deployment and way."""
+
+    in_force_s: float
+    """Longest time of a change until balancers and agents have it."""
+
+    control_bytes_per_node_s: float
+    """Sent and received by a balancer, platform replies included."""
+
+    busiest_node_bytes_s: float
+    store_calls_per_change: float
+    """Calls for sheets; leases and status do not depend on changes."""
+
+    processor_s_per_node_s: float
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Balancers, agents and sheets in the proportions of the target."""
+
+    nodes: int
+    seed: int
+    random_source: random.Random = field(init=False)
+    net: CoreNetwork = field(init=False)
+    balancers: list[Balancer] = field(default_factory=list)
+    agents: list[Agent] = field(default_factory=list)
+    configs: dict[PartnerId, PartnerConfig] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.random_source = random.Random(self.seed)
+        self.net = CoreNetwork(
+            random_source=self.random_source, delay=self._delay, loss=LOSS
+        )
+
+    def _delay(self, sender: NodeId, receiver: NodeId) -> float:
+        """Returns a delay as between availability zones, with variation."""
+        return 0.001 + self.random_source.expovariate(1 / 0.005)
+
+    def order(self) -> list[NodeId]:
+        """Returns the node ids of all balancers."""
+        return [balancer_node(f"b{index}") for index in range(self.nodes)]
+
+    def build(self, wrap: Wrap, *, leases: bool) -> None:
+        """Creates the cores, with members and first sheets known to all.
+
+        Args:
+            wrap: Makes the core that the way runs.
+            leases: Whether lease holders watch the platform.
+        """
+        for partner_id in PARTNERS:
+            self._write(partner_id, self._services(partner_id))
+        partners = PARTNERS if leases else []
+        self.balancers = [
+            self._balancer(index, partners) for index in range(self.nodes)
+        ]
+        services = [item for one in self.configs.values() for item in one.services]
+        self.agents = [
+            self._agent(service, spec)
+            for service in services
+            for spec in service.upstreams
+        ]
+        self._introduce()
+        for core in (*self.balancers, *self.agents):
+            self.net.add(wrap(core))
+
+    def change(self, step: int) -> None:
+        """Changes the weights of one service of one partner."""
+        partner_id = PARTNERS[step % len(PARTNERS)]
+        services = list(self.configs[partner_id].services)
+        changed = services[step % len(services)]
+        upstreams = tuple(
+            msgspec.structs.replace(spec, weight=spec.weight + 1.0)
+            for spec in changed.upstreams
+        )
+        position = services.index(changed)
+        services[position] = msgspec.structs.replace(changed, upstreams=upstreams)
+        self._write(partner_id, services)
+        self.net.store_changed()
+
+    def toggle_drain(self, step: int) -> None:
+        """Lets one agent drain, a change of the membership."""
+        agent = self.agents[step * 7 % len(self.agents)]
+        order = Envelope(LOCAL_PLATFORM, agent.node_id, SetDrain(draining=True))
+        self.net.send(agent.receive(order, now=self.net.now))
+
+    def kill(self) -> None:
+        """Ends some balancers without notice, those early in the order first.
+
+        In the tree these are inner nodes below the roots.
+        """
+        count = max(1, round(self.nodes * DEAD_SHARE))
+        first = min(_roots(self.nodes), self.nodes - count - 1)
+        inner = self.balancers[first : first + 2 * count]
+        for balancer in self.random_source.sample(inner, min(count, len(inner))):
+            self.balancers.remove(balancer)
+            self.net.remove(balancer.node_id)
+
+    def in_force(self) -> bool:
+        """Tells whether every process has the newest generations."""
+        return all(
+            core.config.generation(partner_id) == config.generation
+            for partner_id, config in self.configs.items()
+            for core in (*self.balancers, *self.agents)
+            if isinstance(core, Balancer) or core.announcement.partner_id == partner_id
+        )
+
+    def _write(self, partner_id: PartnerId, services: list[ServiceConfig]) -> None:
+        before = self.configs.get(partner_id, PartnerConfig(partner_id))
+        self.configs[partner_id] = next_config(before, services, change_id="bench")
+        value = msgspec.json.encode(self.configs[partner_id])
+        self.net.store.put(f"sheets/{partner_id}", value)
+
+    def _services(self, partner_id: PartnerId) -> list[ServiceConfig]:
+        services = max(1, round(self.nodes * SERVICES_PER_NODE / len(PARTNERS)))
+        upstreams = round(AGENTS_PER_NODE / SERVICES_PER_NODE)
+        return [
+            ServiceConfig(
+                service_id=ServiceId(f"{partner_id}/service-{index}"),
+                partner_id=partner_id,
+                protocol=Protocol.HTTP,
+                addresses=(ServiceAddress(f"10.{len(partner_id)}.0.1:{index}"),),
+                upstreams=tuple(
+                    UpstreamSpec(UpstreamId(f"upstream-{at}"), ZONES[(index + at) % 9])
+                    for at in range(upstreams)
+                ),
+            )
+            for index in range(services)
+        ]
+
+    def _balancer(self, index: int, partners: list[PartnerId]) -> Balancer:
+        return Balancer(
+            node_id=balancer_node(f"b{index}"),
+            incarnation=Incarnation(1),
+            random_source=random.Random(self.random_source.getrandbits(32)),
+            zone=ZONES[index % len(ZONES)],
+            endpoint=f"10.0.{index // 250}.{index % 250}:7000",
+            seeds=self.order()[:3],
+            partners=partners,
+        )
+
+    def _agent(self, service: ServiceConfig, spec: UpstreamSpec) -> Agent:
+        return Agent(
+            partner_id=service.partner_id,
+            service_id=service.service_id,
+            upstream_id=spec.upstream_id,
+            incarnation=Incarnation(1),
+            zone=spec.zone,
+            endpoint="10.1.100.100:7000",
+            slots=1,
+            credential="0" * 32,
+            balancers=self.order()[:3],
+            random_source=random.Random(self.random_source.getrandbits(32)),
+            now=0.0,
+        )
+
+    def _introduce(self) -> None:
+        """Gives every process the members and the sheets that concern it."""
+        known = [
+            *(item.control.membership.announcement for item in self.balancers),
+            *(agent.announcement for agent in self.agents),
+        ]
+        for balancer in self.balancers:
+            for announcement in known:
+                balancer.members.merge(announcement, now=0.0)
+            for config in self.configs.values():
+                balancer.config.apply(full_delta(config), now=0.0)
+        members = self.balancers[0].members
+        for agent in self.agents:
+            own = agent.announcement
+            for item in members.concerning(agent.service_id, own.zone)[1]:
+                agent.members.merge(item, now=0.0)
+            assert own.partner_id is not None
+            delta = full_delta(self.configs[own.partner_id])
+            entries = [
+                item for item in delta.services if item.service_id == agent.service_id
+            ]
+            reduced = msgspec.structs.replace(delta, services=tuple(entries))
+            agent.config.apply(reduced, now=0.0)
+
+
+def _roots(nodes: int) -> int:
+    return min(WATCHERS_PER_ZONE * len(ZONES), max(1, nodes // 4))
+
+
+def run(nodes: int, way: str, *, seed: int) -> Result:
+    """Runs one deployment with one way and returns its figures."""
+    fleet = Fleet(nodes, seed)
+    wraps: dict[str, Wrap] = {
+        "gossip": gossip,
+        "watch_per_process": watch_per_process(PARTNERS, fleet.random_source),
+        "tree": tree(PARTNERS, fleet.random_source, fleet.order(), _roots(nodes)),
+    }
+    fleet.build(wraps[way], leases=way == "gossip")
+    gc.collect()
+    gc.freeze()
+    try:
+        return _measure(fleet)
+    finally:
+        gc.unfreeze()
+
+
+def _measure(fleet: Fleet) -> Result:
+    net = fleet.net
+    net.run(WARM_UP_S)
+    started, calls_before = net.now, net.store.calls["sheets"]
+    usage_before = {
+        balancer.node_id: _usage(net, balancer) for balancer in fleet.balancers
+    }
+    times = []
+    for step in range(CHANGES):
+        if step == 1:
+            fleet.kill()
+        changed_at = net.now
+        fleet.change(step)
+        fleet.toggle_drain(step)
+        end = changed_at + IN_FORCE_LIMIT_S
+        net.run_until(fleet.in_force, step=0.05, end=end)
+        times.append(net.now - changed_at)
+        net.run(max(net.now, changed_at + CHANGE_INTERVAL_S))
+    seconds = net.now - started
+    calls = net.store.calls["sheets"] - calls_before
+    used = [
+        [
+            after - before
+            for after, before in zip(
+                _usage(net, balancer), usage_before[balancer.node_id], strict=True
+            )
+        ]
+        for balancer in fleet.balancers
+    ]
+    sizes = [item[0] / seconds for item in used]
+    return Result(
+        in_force_s=round(max(times), 3),
+        control_bytes_per_node_s=round(statistics.fmean(sizes), 1),
+        busiest_node_bytes_s=round(max(sizes), 1),
+        store_calls_per_change=round(calls / CHANGES, 1),
+        processor_s_per_node_s=round(
+            statistics.fmean(item[1] for item in used) / seconds, 6
+        ),
+    )
+
+
+def _usage(net: CoreNetwork, core: Core) -> tuple[float, float]:
+    usage = net.usage[core.node_id]
+    return usage.sent_bytes + usage.received_bytes, usage.processor_s
+
+
+def at_target(values: dict[str, float]) -> float:
+    """Extends the two largest sizes to the target in a straight line.
+
+    A falling line is not extended: the largest size's value is kept.
+    """
+    (small, low), (large, high) = list(values.items())[-2:]
+    slope = (high - low) / (int(large) - int(small))
+    return round(high + max(0.0, slope) * (TARGET_NODES - int(large)), 6)
+
+
+def _figures(results: dict[str, Result]) -> dict[str, dict[str, float]]:
+    return {
+        name: {nodes: getattr(result, name) for nodes, result in results.items()}
+        for name in Result.__dataclass_fields__
+    }
+
+
+def measure(*, seed: int) -> dict[str, object]:
+    """Measures the chosen way and those that were weighed.
+
+    Returns:
+        ``{figure: {nodes: value}}`` for the chosen way, ``at_target`` with
+        the figures extended to the target size, and ``weighed`` with the same
+        figures of each other way.
+    """
+    ways = {
+        way: _figures({str(nodes): run(nodes, way, seed=seed) for nodes in SIZES})
+        for way in ("gossip", "watch_per_process", "tree")
+    }
+    chosen = ways.pop("gossip")
+    target = {name: at_target(values) for name, values in chosen.items()}
+    return {"seed": seed, **chosen, "at_target": target, "weighed": ways}
--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -111,7 +111,14 @@
 SPREAD_DELAY_S = 0.1
 """Changes of members are collected for this long before they are spread."""
 
-MEMBERS_PER_DELTA = 100
+VIEW_RESEND_S = 5.0
+"""Interval at which a home repeats a view that an agent does not take.
+
+The other home may hold another view for a moment; without a limit each
+heartbeat would be answered with all members of the zone.
+"""
+
+MEMBERS_PER_DELTA = 300
 """Announcements in one datagram, about 130 bytes each."""
 
 NEWS_PER_FLUSH = 6
--- a/src/bramleydyke/core/members.py
+++ b/src/bramleydyke/core/members.py
@@ -9,7 +9,7 @@
 import msgspec
 from xxhash import xxh3_64_intdigest
 
-from bramleydyke.constants import HEALTH_FLOOR, MEMBER_BUCKETS
+from bramleydyke.constants import HEALTH_FLOOR, HOMES, MEMBER_BUCKETS
 from bramleydyke.messages import Announcement
 from bramleydyke.types import (
     AvailabilityZone,
@@ -220,13 +220,13 @@
         """Returns what an agent needs to know, and a hash of it.
 
         These are the agents of its service and the balancers of its zone, or
-        all balancers while the zone has fewer than two.
+        all balancers while the zone has fewer than two. Nodes that are gone
+        are among them, since the agent may still count on them.
         """
         agents = self.agents.get(service_id, {}).values()
-        present = (MemberState.RUNNING, MemberState.DRAINING)
-        balancers = self.balancers_in(*present, zone=zone)
-        if len(balancers) < 2:
-            balancers = self.balancers_in(*present)
+        balancers = self.balancers_in(*MemberState, zone=zone)
+        if sum(balancer.state not in GONE for balancer in balancers) < HOMES:
+            balancers = self.balancers_in(*MemberState)
         nodes = [*agents, *(balancer.node_id for balancer in balancers)]
         view = 0
         for node_id in nodes:
--- a/src/bramleydyke/core/membership.py
+++ b/src/bramleydyke/core/membership.py
@@ -10,6 +10,7 @@
     FANOUT,
     HEARTBEAT_S,
     MEMBER_RETENTION_S,
+    VIEW_RESEND_S,
 )
 from bramleydyke.core.credentials import Credentials
 from bramleydyke.core.home_link import HomeLink
@@ -47,6 +48,7 @@
         spread: Exchange of announcements with other balancers.
         suspicion: Nodes that this balancer is a home of.
         generations: Generation that each agent said it holds.
+        told: View that each agent was told last, and when.
     """
 
     announcement: Announcement
@@ -61,6 +63,7 @@
     generations: dict[NodeId, tuple[PartnerId, Generation]] = field(
         default_factory=dict
     )
+    told: dict[NodeId, tuple[int, float]] = field(default_factory=dict)
     check_at: float | None = None
     exchange_at: float | None = None
     forget_at: float = 0.0
@@ -160,10 +163,18 @@
             return out
         assert message.partner_id is not None
         self.generations[sender] = (message.partner_id, message.generation)
-        view, concerning = self.members.concerning(known.service_id, known.zone)
-        if view != message.view:
-            out += member_deltas(own_id, sender, concerning, complete=True)
-        return out
+        return out + self._view(known, message.view, now=now)
+
+    def _view(self, agent: Announcement, theirs: int, *, now: float) -> list[Envelope]:
+        """Tells an agent the members that concern it, if it holds others."""
+        assert agent.service_id is not None
+        view, concerning = self.members.concerning(agent.service_id, agent.zone)
+        told, told_at = self.told.get(agent.node_id, (None, now))
+        if view == theirs or view == told and now - told_at < VIEW_RESEND_S:
+            return []
+        self.told[agent.node_id] = (view, now)
+        own_id = self.announcement.node_id
+        return member_deltas(own_id, agent.node_id, concerning, complete=True)
 
     def confirmed(self, sender: NodeId, reply: SuspectReply, *, now: float) -> None:
         """Takes the other home's reply to a suspicion."""
@@ -210,8 +221,6 @@
     def _forget(self, *, now: float) -> None:
         self.members.forget_gone(before=now - MEMBER_RETENTION_S)
         watched = self.suspicion.others
-        self.generations = {
-            node_id: held
-            for node_id, held in self.generations.items()
-            if node_id in watched
-        }
+        for table in (self.generations, self.told):
+            for node_id in table.keys() - watched.keys():
+                del table[node_id]
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -48,6 +48,9 @@
     assert net.states(home) == {MemberState.SUSPECT}
     assert home not in net.net.nodes[U0].link.home.homes(now=net.net.now)
     assert net.states(U0) == {RUNNING}
+    sent = net.net.kinds["MemberDelta"]
+    net.run(8)
+    assert net.net.kinds["MemberDelta"] == sent
 
 
 def test_silence_towards_one_home_is_not_spread() -> None:
