Byte streams with offsets, and tests of health and limits

Cause: TCP services had no path, and health and limits no tests. Change: streams keep unacknowledged bytes in a bounded window, repeat them over a broken or lossy link, pause the port, close each direction on its own, and end with a reason. A refusal or a silent agent before the first byte moves to the next candidate. Streams count against the partner and the agent.

--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -16,12 +16,18 @@
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_server import RequestServer
 from bramleydyke.core.return_path import ReturnPath
+from bramleydyke.core.stream_server import StreamServer
 from bramleydyke.messages import (
     Accepted,
     Announcement,
     Answer,
     Cancelled,
     CancelRequest,
+    ConnectionAbort,
+    ConnectionData,
+    ConnectionEnd,
+    ConnectionReady,
+    ConnectionWritten,
     Envelope,
     FlowAlive,
     FlowHint,
@@ -36,6 +42,11 @@
     RequestFailed,
     RequestShed,
     SetDrain,
+    StreamAck,
+    StreamClose,
+    StreamData,
+    StreamOpen,
+    StreamReset,
 )
 from bramleydyke.types import (
     AvailabilityZone,
@@ -58,6 +69,7 @@
         requests: Requests at this upstream.
         placer: Requests that this agent places as their home.
         flows: Datagram flows of this upstream.
+        streams: Byte streams of this upstream.
     """
 
     def __init__(
@@ -129,6 +141,10 @@
                 home=lambda: self.balancers,
             ),
         )
+        self.streams = streams = StreamServer(
+            node_id=self.node_id, partner_id=partner_id, service_id=service_id
+        )
+        table = streams.table
         server = self.requests
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
@@ -147,6 +163,16 @@
             FlowHint: lambda who, msg, _: flows.hinted(who, msg),
             FlowProbe: lambda who, msg, _: flows.probed(who, msg),
             FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
+            StreamOpen: lambda who, msg, now: streams.open(who, msg, now=now),
+            StreamReset: lambda who, msg, now: streams.reset(who, msg),
+            StreamData: lambda who, msg, now: table.data(who, msg, now=now),
+            StreamAck: lambda who, msg, now: table.acked(who, msg, now=now),
+            StreamClose: lambda who, msg, now: table.closed(who, msg, now=now),
+            ConnectionReady: lambda _, msg, now: streams.ready(msg, now=now),
+            ConnectionData: lambda _, msg, now: table.read(msg, now=now),
+            ConnectionWritten: lambda _, msg, now: table.wrote(msg),
+            ConnectionEnd: lambda _, msg, now: table.half_closed(msg, now=now),
+            ConnectionAbort: lambda _, msg, now: streams.aborted(msg),
             ConfigDelta: self._config_delta,
             Announcement: self._peer_announced,
             SetDrain: self._set_drain,
@@ -162,6 +188,7 @@
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
         out = self.requests.wake(now=now) + self.flows.wake(now=now)
+        out += self.streams.wake(now=now)
         if now >= self.heartbeat_at:
             self.heartbeat_at = now + HEARTBEAT_S
             out += self.announce()
@@ -169,8 +196,9 @@
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        parts = (self.requests.next_wakeup(), self.flows.next_wakeup())
-        return min((self.heartbeat_at, *(at for at in parts if at is not None)))
+        parts = (self.requests, self.flows, self.streams)
+        times = [part.next_wakeup() for part in parts]
+        return min([self.heartbeat_at, *(at for at in times if at is not None)])
 
     def announce(self) -> list[Envelope]:
         """Returns this agent's announcement to its home balancers."""
@@ -181,7 +209,7 @@
 
     def idle(self) -> bool:
         """Tells whether a draining agent may stop."""
-        return self.requests.idle() and self.flows.idle()
+        return all(part.idle() for part in (self.requests, self.flows, self.streams))
 
     def peers(self, now: float) -> set[UpstreamId]:
         """Returns the other upstreams that may know a request id.
@@ -244,6 +272,7 @@
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
         self.requests.draining = message.draining
         self.flows.table.draining = message.draining
+        self.streams.draining = message.draining
         state = MemberState.DRAINING if message.draining else MemberState.RUNNING
         self.announcement = msgspec.structs.replace(
             self.announcement, state=state, revision=self.announcement.revision + 1
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -13,11 +13,17 @@
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_edge import RequestEdge
+from bramleydyke.core.stream_edge import StreamEdge
 from bramleydyke.messages import (
     Accepted,
     Announcement,
     Answer,
     Cancelled,
+    ConnectionAbort,
+    ConnectionData,
+    ConnectionEnd,
+    ConnectionOpened,
+    ConnectionWritten,
     Envelope,
     FlowAlive,
     FlowHint,
@@ -29,6 +35,11 @@
     RequestAbandoned,
     RequestArrived,
     SetDrain,
+    StreamAck,
+    StreamClose,
+    StreamData,
+    StreamOpened,
+    StreamReset,
 )
 from bramleydyke.types import (
     Incarnation,
@@ -53,6 +64,7 @@
         placer: Requests on their way to an agent.
         edge: Callers that wait here.
         flows: Datagram flows.
+        streams: Byte streams.
         time: Time of the last call, in seconds.
     """
 
@@ -97,7 +109,29 @@
             limits=self.limits,
             usable=self.usable,
         )
+        self.streams = streams = StreamEdge(
+            node_id=node_id,
+            incarnation=incarnation,
+            config=self.config,
+            health=self.health,
+            limits=self.limits,
+            usable=self.usable,
+            weights=lambda service_id, now: self.current_weights(service_id, now=now),
+            budget=self.placer.budget,
+            random_source=random_source,
+        )
+        table = streams.table
         self.handlers: dict[type, Handler] = {
+            ConnectionOpened: lambda _, msg, now: streams.connected(msg, now=now),
+            ConnectionData: lambda _, msg, now: streams.read(msg, now=now),
+            ConnectionWritten: lambda _, msg, now: table.wrote(msg),
+            ConnectionEnd: lambda _, msg, now: streams.half_closed(msg, now=now),
+            ConnectionAbort: lambda _, msg, now: streams.aborted(msg),
+            StreamOpened: lambda who, msg, now: streams.opened(who, msg, now=now),
+            StreamReset: lambda who, msg, now: streams.reset(who, msg, now=now),
+            StreamData: lambda who, msg, now: streams.data(who, msg, now=now),
+            StreamAck: lambda who, msg, now: table.acked(who, msg, now=now),
+            StreamClose: lambda who, msg, now: streams.closed(who, msg, now=now),
             PacketIn: flows.packet_in,
             PacketReturn: flows.returned,
             FlowHint: lambda who, msg, now: flows.hinted(who, msg, now=now),
@@ -126,11 +160,13 @@
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
         self.time = now
-        return self.placer.wake(now=now) + self.flows.wake(now=now)
+        out = self.placer.wake(now=now) + self.flows.wake(now=now)
+        return out + self.streams.wake(now=now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do, in seconds."""
-        times = (self.placer.next_wakeup(), self.flows.next_wakeup())
+        parts = (self.placer, self.flows, self.streams)
+        times = (part.next_wakeup() for part in parts)
         return min((at for at in times if at is not None), default=None)
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
--- /dev/null
+++ b/src/bramleydyke/core/stream_server.py
@@ -0,0 +1,168 @@
+"""The agent's side of byte streams: admission and upstream connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import AGENT_STREAMS, STREAM_KEEPALIVE_S, STREAM_OPEN_S
+from bramleydyke.core.stream_table import StreamTable
+from bramleydyke.core.streams import Stream
+from bramleydyke.core.timers import Timers
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import (
+    ConnectionAbort,
+    ConnectionReady,
+    Count,
+    Envelope,
+    OpenConnection,
+    StreamOpen,
+    StreamOpened,
+    StreamReset,
+)
+from bramleydyke.types import (
+    LOCAL_METRICS,
+    LOCAL_UPSTREAM,
+    NodeId,
+    PartnerId,
+    ServiceId,
+    StreamId,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class StreamServer:
+    """Byte streams at one agent.
+
+    Attributes:
+        draining: True if no stream is admitted; open ones go on to their end.
+        connecting: Streams whose upstream connection is being opened.
+        table: Open streams.
+    """
+
+    node_id: NodeId
+    partner_id: PartnerId
+    service_id: ServiceId
+    max_streams: int = AGENT_STREAMS
+    draining: bool = False
+    connecting: dict[StreamId, Stream] = field(default_factory=dict)
+    timers: Timers[StreamId] = field(default_factory=Timers)
+    table: StreamTable = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.table = StreamTable(node_id=self.node_id, removed=lambda _: None)
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do."""
+        times = (self.timers.next(), self.table.timers.next())
+        return min((at for at in times if at is not None), default=None)
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Gives up connections that take too long; repeats what is due."""
+        overdue = [
+            sent
+            for stream_id in self.timers.pop_due(now)
+            for sent in self._give_up(stream_id)
+        ]
+        return overdue + self.table.wake(now=now)
+
+    def idle(self) -> bool:
+        """Tells whether no stream is open or being opened."""
+        return not self.connecting and not self.table.streams
+
+    def open(
+        self, sender: NodeId, message: StreamOpen, *, now: float
+    ) -> list[Envelope]:
+        """Admits or refuses a stream; a repetition changes nothing."""
+        stream_id = message.stream_id
+        stream = self.table.streams.get(stream_id)
+        if stream is not None and stream.peer == sender:
+            return [Envelope(self.node_id, sender, StreamOpened(stream_id=stream_id))]
+        if stream_id in self.connecting:
+            return []
+        kind = self._refusal(message)
+        if kind is not None:
+            reset = StreamReset(stream_id=stream_id, kind=kind)
+            return [Envelope(self.node_id, sender, reset), self._count(kind)]
+        self.connecting[stream_id] = Stream(
+            node_id=self.node_id,
+            peer=sender,
+            port=LOCAL_UPSTREAM,
+            stream_id=stream_id,
+            partner_id=self.partner_id,
+            connection=stream_id,
+            heard_at=now,
+            resend_at=now + STREAM_KEEPALIVE_S,
+        )
+        self.timers.set(stream_id, now + STREAM_OPEN_S)
+        return [
+            Envelope(self.node_id, LOCAL_UPSTREAM, OpenConnection(connection=stream_id))
+        ]
+
+    def ready(self, message: ConnectionReady, *, now: float) -> list[Envelope]:
+        """Tells the balancer that the upstream connection is open."""
+        stream = self._connected(StreamId(message.connection))
+        if stream is None:
+            return []
+        stream.heard_at = now
+        stream.resend_at = now + STREAM_KEEPALIVE_S
+        self.table.add(stream)
+        opened = StreamOpened(stream_id=stream.stream_id)
+        return [Envelope(self.node_id, stream.peer, opened)]
+
+    def aborted(self, message: ConnectionAbort) -> list[Envelope]:
+        """Refuses a stream whose connection failed, or resets an open one."""
+        stream = self._connected(StreamId(message.connection))
+        if stream is None:
+            return self.table.aborted(message)
+        return self._refuse_connecting(stream)
+
+    def reset(self, sender: NodeId, message: StreamReset) -> list[Envelope]:
+        """Ends a stream that the balancer has reset.
+
+        One that is not known is remembered, so that a delayed ``StreamOpen``
+        does not open it afterwards.
+        """
+        stream = self.connecting.get(message.stream_id)
+        if stream is not None and stream.peer == sender:
+            self._connected(message.stream_id)
+            self.table.forget(message.stream_id)
+            return [self._abort(stream, message.kind)]
+        if message.stream_id not in self.table.streams:
+            self.table.forget(message.stream_id)
+        return self.table.reset(sender, message)
+
+    def _refusal(self, message: StreamOpen) -> ErrorKind | None:
+        if (message.service_id, message.partner_id) != (
+            self.service_id,
+            self.partner_id,
+        ):
+            return ErrorKind.WRONG_SERVICE
+        if message.stream_id in self.table.ended:
+            return ErrorKind.FORGOTTEN
+        if self.draining:
+            return ErrorKind.DRAINING
+        if len(self.table.streams) + len(self.connecting) >= self.max_streams:
+            return ErrorKind.TABLE_FULL
+        return None
+
+    def _connected(self, stream_id: StreamId) -> Stream | None:
+        self.timers.cancel(stream_id)
+        return self.connecting.pop(stream_id, None)
+
+    def _give_up(self, stream_id: StreamId) -> list[Envelope]:
+        stream = self.connecting.pop(stream_id)
+        abort = self._abort(stream, ErrorKind.UPSTREAM_FAILED)
+        return [abort, *self._refuse_connecting(stream)]
+
+    def _refuse_connecting(self, stream: Stream) -> list[Envelope]:
+        kind = ErrorKind.UPSTREAM_FAILED
+        self.table.forget(stream.stream_id)
+        reset = StreamReset(stream_id=stream.stream_id, kind=kind)
+        return [Envelope(self.node_id, stream.peer, reset), self._count(kind)]
+
+    def _abort(self, stream: Stream, kind: ErrorKind) -> Envelope:
+        abort = ConnectionAbort(connection=stream.connection, kind=kind)
+        return Envelope(self.node_id, LOCAL_UPSTREAM, abort)
+
+    def _count(self, kind: ErrorKind) -> Envelope:
+        return Envelope(self.node_id, LOCAL_METRICS, Count(name=counter_name(kind)))
--- /dev/null
+++ b/src/bramleydyke/core/stream_table.py
@@ -0,0 +1,190 @@
+"""Open streams of one process, and the messages that concern them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleydyke.core.streams import Stream
+from bramleydyke.core.timers import Timers
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import (
+    ConnectionAbort,
+    ConnectionData,
+    ConnectionEnd,
+    ConnectionWritten,
+    Count,
+    Envelope,
+    StreamAck,
+    StreamClose,
+    StreamData,
+    StreamReset,
+)
+from bramleydyke.types import LOCAL_METRICS, NodeId, StreamId
+
+REMEMBERED = 4_096
+"""Ended streams whose late messages are told apart from unknown ones."""
+
+
+@dataclass(slots=True, kw_only=True)
+class StreamTable:
+    """Open streams of a balancer or an agent.
+
+    Attributes:
+        removed: Called when a stream has ended or broken.
+        streams: Open streams.
+        connections: Stream of each connection at the local port.
+        ended: Recently ended streams, with the offset to acknowledge if the
+            stream ended without a break.
+    """
+
+    node_id: NodeId
+    removed: Callable[[Stream], None]
+    streams: dict[StreamId, Stream] = field(default_factory=dict)
+    connections: dict[str, Stream] = field(default_factory=dict)
+    ended: OrderedDict[StreamId, int | None] = field(default_factory=OrderedDict)
+    timers: Timers[StreamId] = field(default_factory=Timers)
+
+    def add(self, stream: Stream) -> None:
+        """Adds an open stream."""
+        self.streams[stream.stream_id] = stream
+        self.connections[stream.connection] = stream
+        self._set_timer(stream)
+
+    def forget(self, stream_id: StreamId, *, offset: int | None = None) -> None:
+        """Remembers that a stream has ended."""
+        self.ended[stream_id] = offset
+        if len(self.ended) > REMEMBERED:
+            self.ended.popitem(last=False)
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Repeats what is not acknowledged, probes peers, ends silent ones."""
+        return [
+            sent
+            for stream_id in self.timers.pop_due(now)
+            for sent in self._due(self.streams[stream_id], now=now)
+        ]
+
+    # Peer.
+
+    def data(
+        self, sender: NodeId, message: StreamData, *, now: float
+    ) -> list[Envelope]:
+        """Takes bytes of the peer."""
+        stream = self._find(sender, message.stream_id)
+        if stream is None:
+            return self._unknown(sender, message.stream_id)
+        return self._after(stream, stream.receive(message, now=now))
+
+    def acked(
+        self, sender: NodeId, message: StreamAck, *, now: float
+    ) -> list[Envelope]:
+        """Takes an acknowledgement of the peer."""
+        stream = self._find(sender, message.stream_id)
+        if stream is not None:
+            return self._after(stream, stream.acked(message, now=now))
+        if message.stream_id in self.ended:
+            return []
+        return self._unknown(sender, message.stream_id)
+
+    def closed(
+        self, sender: NodeId, message: StreamClose, *, now: float
+    ) -> list[Envelope]:
+        """Takes the end of the peer's direction."""
+        stream = self._find(sender, message.stream_id)
+        if stream is None:
+            return self._unknown(sender, message.stream_id)
+        return self._after(stream, stream.closed(message, now=now))
+
+    def reset(self, sender: NodeId, message: StreamReset) -> list[Envelope]:
+        """Breaks a stream that the peer has reset."""
+        stream = self._find(sender, message.stream_id)
+        if stream is None:
+            return []
+        return self._break(stream, message.kind)
+
+    # Local port.
+
+    def read(self, message: ConnectionData, *, now: float) -> list[Envelope]:
+        """Takes bytes that the port read."""
+        stream = self.connections.get(message.connection)
+        if stream is None:
+            return []
+        return self._after(stream, stream.write(message.data, now=now))
+
+    def wrote(self, message: ConnectionWritten) -> list[Envelope]:
+        """Notes bytes that the port passed on."""
+        stream = self.connections.get(message.connection)
+        return [] if stream is None else stream.wrote(message.amount)
+
+    def half_closed(self, message: ConnectionEnd, *, now: float) -> list[Envelope]:
+        """Ends the direction from the port to the peer."""
+        stream = self.connections.get(message.connection)
+        if stream is None:
+            return []
+        return self._after(stream, stream.close(now=now))
+
+    def aborted(self, message: ConnectionAbort) -> list[Envelope]:
+        """Resets the stream of a connection that broke."""
+        stream = self.connections.get(message.connection)
+        if stream is None:
+            return []
+        self._remove(stream)
+        reset = StreamReset(stream_id=stream.stream_id, kind=message.kind)
+        return [Envelope(self.node_id, stream.peer, reset)]
+
+    def _find(self, sender: NodeId, stream_id: StreamId) -> Stream | None:
+        stream = self.streams.get(stream_id)
+        return stream if stream is not None and stream.peer == sender else None
+
+    def _unknown(self, sender: NodeId, stream_id: StreamId) -> list[Envelope]:
+        """Acknowledges repetitions for an ended stream, and resets others."""
+        offset = self.ended.get(stream_id)
+        if offset is not None:
+            ack = StreamAck(stream_id=stream_id, offset=offset, limit=offset)
+            return [Envelope(self.node_id, sender, ack)]
+        reset = StreamReset(stream_id=stream_id, kind=ErrorKind.FORGOTTEN)
+        return [Envelope(self.node_id, sender, reset)]
+
+    def _after(self, stream: Stream, sent: list[Envelope]) -> list[Envelope]:
+        if stream.done():
+            self._remove(stream, offset=stream.receiver.ack()[0])
+        else:
+            self._set_timer(stream)
+        return sent
+
+    def _due(self, stream: Stream, *, now: float) -> list[Envelope]:
+        if stream.silent(now=now):
+            reset = StreamReset(stream_id=stream.stream_id, kind=ErrorKind.AGENT_SILENT)
+            told = Envelope(self.node_id, stream.peer, reset)
+            return [told, *self._break(stream, ErrorKind.AGENT_SILENT)]
+        sent = stream.due(now=now) if stream.resend_at <= now else []
+        self._set_timer(stream)
+        return sent
+
+    def _break(self, stream: Stream, kind: ErrorKind) -> list[Envelope]:
+        self._remove(stream)
+        abort = ConnectionAbort(connection=stream.connection, kind=kind)
+        count = Count(name=counter_name(kind, action="broken"))
+        return [
+            Envelope(self.node_id, stream.port, abort),
+            Envelope(self.node_id, LOCAL_METRICS, count),
+        ]
+
+    def _remove(self, stream: Stream, *, offset: int | None = None) -> None:
+        del self.streams[stream.stream_id]
+        del self.connections[stream.connection]
+        self.timers.cancel(stream.stream_id)
+        self.forget(stream.stream_id, offset=offset)
+        self.removed(stream)
+
+    def _set_timer(self, stream: Stream) -> None:
+        """Sets the timer of a stream if it is not set to an earlier time.
+
+        A later time is set when the earlier one is reached, which costs less
+        than a new entry for each message.
+        """
+        at = self.timers.times.get(stream.stream_id)
+        if at is None or stream.resend_at < at:
+            self.timers.set(stream.stream_id, stream.resend_at)
--- /dev/null
+++ b/tests/unit/test_flow_hints.py
@@ -0,0 +1,31 @@
+"""The balancer's bounded hints."""
+
+from __future__ import annotations
+
+from bramleydyke.constants import FLOW_IDLE_S
+from bramleydyke.core.flow_hints import ACTIVE_S, FlowHints
+from bramleydyke.types import FlowId, UpstreamId
+
+OWNER = UpstreamId("u0")
+
+
+def test_full_hints_evict_the_least_recent_flow_that_is_not_active() -> None:
+    """Guards against unbounded hints, and against eviction of active flows."""
+    hints = FlowHints(max_flows=2)
+    hints.add(FlowId(1), OWNER, now=0.0)
+    hints.add(FlowId(2), OWNER, now=0.0)
+    assert hints.add(FlowId(3), OWNER, now=ACTIVE_S / 2) is None
+    used = hints.get(FlowId(1), now=ACTIVE_S / 2)
+    used.seen = ACTIVE_S / 2
+    assert hints.add(FlowId(3), OWNER, now=ACTIVE_S) is not None
+    assert list(hints.entries) == [1, 3]
+
+
+def test_idle_hint_is_over_and_another_owners_hint_stays() -> None:
+    """Guards against breaks counted for ended flows, and late resets."""
+    hints = FlowHints()
+    hints.add(FlowId(1), OWNER, now=0.0).confirmed = True
+    assert hints.drop(FlowId(1), UpstreamId("u1")) is None
+    assert hints.get(FlowId(1), now=FLOW_IDLE_S) is not None
+    assert hints.get(FlowId(1), now=FLOW_IDLE_S + 1.0) is None
+    assert not hints.entries
--- /dev/null
+++ b/tests/unit/test_health.py
@@ -0,0 +1,143 @@
+"""Health of upstreams, slow starts, and per-partner limits."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from bramleydyke.constants import SUSPECT_AFTER_S
+from bramleydyke.core.health import (
+    EJECT_FAILURES,
+    EJECT_S,
+    SLOW_START_S,
+    SLOW_START_SHARE,
+    HealthView,
+)
+from bramleydyke.core.limits import PartnerLimits
+from bramleydyke.core.members import Members
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import Announcement
+from bramleydyke.types import (
+    AvailabilityZone,
+    Incarnation,
+    MemberState,
+    NodeId,
+    PartnerId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+OURS = ServiceId("federation/board")
+THEIRS = ServiceId("studio/preview")
+
+
+def _announcement(service_id: ServiceId, index: int, **changes) -> Announcement:
+    upstream_id = UpstreamId(f"u{index}")
+    announcement = Announcement(
+        node_id=agent_node(service_id, upstream_id),
+        incarnation=Incarnation(1),
+        revision=1,
+        state=MemberState.RUNNING,
+        zone=AvailabilityZone("fes"),
+        endpoint="127.0.0.1:1",
+        service_id=service_id,
+        upstream_id=upstream_id,
+    )
+    return msgspec.structs.replace(announcement, **changes)
+
+
+def _view(count: int) -> HealthView:
+    view = HealthView(Members())
+    for service_id in (OURS, THEIRS):
+        for index in range(count):
+            view.members.merge(_announcement(service_id, index), now=0.0)
+    return view
+
+
+def _node(index: int, service_id: ServiceId = OURS) -> NodeId:
+    return agent_node(service_id, UpstreamId(f"u{index}"))
+
+
+def _fail(view: HealthView, index: int, *, now: float) -> None:
+    for _ in range(EJECT_FAILURES):
+        view.failed(_node(index), now=now)
+
+
+def test_failures_eject_an_upstream_that_reports_to_be_well() -> None:
+    """Guards against trust in reports while requests fail."""
+    view = _view(4)
+    _fail(view, 1, now=10.0)
+    assert view.usable(OURS, now=10.0) == ["u0", "u2", "u3"]
+    assert view.usable(OURS, now=10.0 + EJECT_S) == ["u0", "u1", "u2", "u3"]
+    _fail(view, 1, now=21.0)
+    assert "u1" not in view.usable(OURS, now=21.0 + 1.5 * EJECT_S)
+
+
+@pytest.mark.parametrize("count, kept", [(1, 1), (2, 1), (5, 3), (7, 4)])
+def test_floor_of_the_upstreams_stays_in_use(count: int, kept: int) -> None:
+    """Guards against an empty service when the detector itself is wrong."""
+    view = _view(count)
+    for index in range(count):
+        view.silent(_node(index), now=10.0)
+    assert len(view.usable(OURS, now=10.0)) == kept
+
+
+def test_answers_outweigh_a_suspicion_and_do_not_hide_a_drain() -> None:
+    """Guards against an upstream that is left because of others' reports."""
+    view = _view(4)
+    suspect = _announcement(OURS, 0, state=MemberState.SUSPECT)
+    view.members.merge(suspect, now=1.0)
+    assert "u0" not in view.usable(OURS, now=1.0)
+    view.answered(_node(0), now=2.0)
+    assert "u0" in view.usable(OURS, now=2.0)
+    assert "u0" not in view.usable(OURS, now=2.1 + SUSPECT_AFTER_S)
+    view.refused(_node(1), ErrorKind.DRAINING, now=3.0)
+    assert "u1" not in view.usable(OURS, now=3.0)
+    assert view.members.by_node[_node(1)].state is MemberState.DRAINING
+    again = _announcement(OURS, 1, revision=2)
+    view.members.merge(again, now=4.0)
+    assert "u1" in view.usable(OURS, now=4.0)
+
+
+def test_all_upstreams_draining_leaves_none() -> None:
+    """Guards against the floor sending new work to leaving upstreams."""
+    view = _view(2)
+    for index in range(2):
+        view.refused(_node(index), ErrorKind.DRAINING, now=1.0)
+    assert view.usable(OURS, now=1.0) == []
+
+
+def test_cold_and_returned_upstreams_start_slowly() -> None:
+    """Guards against a full load on an upstream that has just started."""
+    view = _view(2)
+    assert view.weight_factor(_node(0), now=10.0) == pytest.approx(SLOW_START_SHARE)
+    assert view.weight_factor(_node(0), now=10.0 + SLOW_START_S) == 1.0
+    _fail(view, 0, now=100.0)
+    back = 100.0 + EJECT_S
+    assert view.weight_factor(_node(0), now=back) == pytest.approx(SLOW_START_SHARE)
+    assert view.weight_factor(_node(0), now=back + SLOW_START_S) == 1.0
+    restarted = _announcement(OURS, 0, incarnation=Incarnation(2))
+    view.members.merge(restarted, now=200.0)
+    assert view.weight_factor(_node(0), now=200.0) == pytest.approx(SLOW_START_SHARE)
+
+
+def test_one_partners_failures_leave_the_other_alone() -> None:
+    """Guards against shared state between the partners' upstreams."""
+    view = _view(2)
+    _fail(view, 0, now=1.0)
+    view.silent(_node(1), now=1.0)
+    assert view.usable(THEIRS, now=1.0) == ["u0", "u1"]
+    assert not view.unreachable(_node(1, THEIRS), now=1.0)
+
+
+def test_packet_flood_of_one_partner_leaves_established_flows_and_the_other() -> None:
+    """Guards against new flows that take the allowance of established ones."""
+    limits = PartnerLimits(packets_per_s=100.0)
+    ours = limits.packet_bucket(PartnerId("federation"), now=0.0)
+    theirs = limits.packet_bucket(PartnerId("studio"), now=0.0)
+    new = sum(ours.take(now=0.0, reserve=25.0) for _ in range(1_000))
+    established = sum(ours.take(now=0.0) for _ in range(1_000))
+    assert (new, established) == (75, 25)
+    assert theirs.take(now=0.0, reserve=25.0)
+    assert sum(ours.take(now=0.5, reserve=25.0) for _ in range(1_000)) == 25
