--- a/src/bramleydyke/bench/__init__.py
+++ b/src/bramleydyke/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of cost and balance."""
+"""Measurements that ``make bench`` runs, each as a ``measure`` function."""
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -15,12 +15,18 @@
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_server import RequestServer
 from bramleydyke.core.return_path import ReturnPath
+from bramleydyke.core.stream_server import StreamServer
 from bramleydyke.messages import (
     Accepted,
     Announcement,
     Answer,
     Cancelled,
     CancelRequest,
+    ConnectionAbort,
+    ConnectionData,
+    ConnectionEnd,
+    ConnectionReady,
+    ConnectionWritten,
     DrainOrder,
     Envelope,
     FlowAlive,
@@ -38,6 +44,11 @@
     RequestFailed,
     RequestShed,
     SetDrain,
+    StreamAck,
+    StreamClose,
+    StreamData,
+    StreamOpen,
+    StreamReset,
 )
 from bramleydyke.types import (
     AvailabilityZone,
@@ -61,6 +72,7 @@
         placer: Requests that this agent places as their home.
         link: Homes, configuration and drain.
         flows: Datagram flows of this upstream.
+        streams: Byte streams of this upstream.
     """
 
     def __init__(
@@ -139,7 +151,10 @@
                 home=self._balancers,
             ),
         )
-        server, link = self.requests, self.link
+        self.streams = streams = StreamServer(
+            node_id=self.node_id, partner_id=partner_id, service_id=service_id
+        )
+        server, link, table = self.requests, self.link, streams.table
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
             CancelRequest: lambda who, msg, now: server.cancel(who, msg, now=now),
@@ -157,6 +172,16 @@
             FlowHint: lambda who, msg, _: flows.hinted(who, msg),
             FlowProbe: lambda who, msg, _: flows.probed(who, msg),
             FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
+            StreamOpen: lambda who, msg, now: streams.open(who, msg, now=now),
+            StreamReset: lambda who, msg, now: streams.reset(who, msg),
+            StreamData: lambda who, msg, now: table.data(who, msg, now=now),
+            StreamAck: lambda who, msg, now: table.acked(who, msg, now=now),
+            StreamClose: lambda who, msg, now: table.closed(who, msg, now=now),
+            ConnectionReady: lambda _, msg, now: streams.ready(msg, now=now),
+            ConnectionData: lambda _, msg, now: table.read(msg, now=now),
+            ConnectionWritten: lambda _, msg, now: table.wrote(msg),
+            ConnectionEnd: lambda _, msg, now: table.half_closed(msg, now=now),
+            ConnectionAbort: lambda _, msg, now: streams.aborted(msg),
             ConfigDelta: lambda who, msg, now: link.take(who, msg, now=now),
             Announcement: lambda _, msg, now: link.learn(msg, now=now),
             HeartbeatReply: lambda who, msg, now: link.replied(who, msg, now=now),
@@ -176,13 +201,15 @@
         """Does what is due; returns the messages that follow from it."""
         self.members.forget_gone(before=now - MEMBER_RETENTION_S)
         out = self.requests.wake(now=now) + self.flows.wake(now=now)
+        out += self.streams.wake(now=now)
         return out + self.link.home.wake(now=now)
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        parts = (self.requests.next_wakeup(), self.flows.next_wakeup())
+        parts = (self.requests, self.flows, self.streams)
+        times = [part.next_wakeup() for part in parts]
         heartbeat_at = self.link.home.heartbeat_at
-        return min((heartbeat_at, *(at for at in parts if at is not None)))
+        return min([heartbeat_at, *(at for at in times if at is not None)])
 
     @property
     def announcement(self) -> Announcement:
@@ -199,7 +226,7 @@
 
     def idle(self) -> bool:
         """Tells whether a draining agent may stop."""
-        return self.requests.idle() and self.flows.idle()
+        return all(part.idle() for part in (self.requests, self.flows, self.streams))
 
     def peers(self, now: float) -> set[UpstreamId]:
         """Returns the other upstreams that may know a request id.
@@ -264,8 +291,9 @@
         return self._drained(self.link.ordered(sender, order, now=now))
 
     def _drained(self, out: list[Envelope]) -> list[Envelope]:
-        """Applies the drain state to requests and flows."""
+        """Applies the drain state to requests, flows and streams."""
         draining = self.link.drain.draining
         self.requests.draining = draining
         self.flows.table.draining = draining
+        self.streams.draining = draining
         return out
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -14,11 +14,17 @@
 from bramleydyke.core.members import Members
 from bramleydyke.core.placement import Placement, Placer
 from bramleydyke.core.request_edge import RequestEdge
+from bramleydyke.core.stream_edge import StreamEdge
 from bramleydyke.messages import (
     Accepted,
     Announcement,
     Answer,
     Cancelled,
+    ConnectionAbort,
+    ConnectionData,
+    ConnectionEnd,
+    ConnectionOpened,
+    ConnectionWritten,
     DrainOrder,
     Envelope,
     FlowAlive,
@@ -31,6 +37,11 @@
     RequestAbandoned,
     RequestArrived,
     SetDrain,
+    StreamAck,
+    StreamClose,
+    StreamData,
+    StreamOpened,
+    StreamReset,
 )
 from bramleydyke.types import (
     AvailabilityZone,
@@ -56,6 +67,7 @@
         edge: Callers that wait here.
         control: Dissemination, membership, leases and status.
         flows: Datagram flows.
+        streams: Byte streams.
         now: Time of the last call, in seconds.
     """
 
@@ -118,6 +130,18 @@
             limits=self.limits,
             usable=self.usable,
         )
+        self.streams = streams = StreamEdge(
+            node_id=node_id,
+            incarnation=incarnation,
+            config=self.config,
+            health=self.health,
+            limits=self.limits,
+            usable=self.usable,
+            weights=lambda service_id, now: self.current_weights(service_id, now=now),
+            budget=self.placer.budget,
+            random_source=random_source,
+        )
+        table = streams.table
         self.control = Control(
             announcement=Announcement(
                 node_id=node_id,
@@ -136,8 +160,18 @@
         )
         self.now = 0.0
         self.handlers: dict[type, Handler] = {
-            PacketIn: lambda _, msg, now: flows.packet_in(msg, now=now),
-            PacketReturn: lambda who, msg, now: flows.returned(who, msg, now=now),
+            ConnectionOpened: lambda _, msg, now: streams.connected(msg, now=now),
+            ConnectionData: lambda _, msg, now: streams.read(msg, now=now),
+            ConnectionWritten: lambda _, msg, now: table.wrote(msg),
+            ConnectionEnd: lambda _, msg, now: streams.half_closed(msg, now=now),
+            ConnectionAbort: lambda _, msg, now: streams.aborted(msg),
+            StreamOpened: lambda who, msg, now: streams.opened(who, msg, now=now),
+            StreamReset: lambda who, msg, now: streams.reset(who, msg, now=now),
+            StreamData: lambda who, msg, now: streams.data(who, msg, now=now),
+            StreamAck: lambda who, msg, now: table.acked(who, msg, now=now),
+            StreamClose: lambda who, msg, now: streams.closed(who, msg, now=now),
+            PacketIn: flows.packet_in,
+            PacketReturn: flows.returned,
             FlowHint: lambda who, msg, now: flows.hinted(who, msg, now=now),
             FlowReset: lambda who, msg, now: flows.reset(who, msg, now=now),
             FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
@@ -168,13 +202,15 @@
         """Does what is due; returns the messages that follow from it."""
         self.now = now
         out = self.placer.wake(now=now) + self.flows.wake(now=now)
+        out += self.streams.wake(now=now)
         return out + self.control.wake(now=now)
 
-    def next_wakeup(self) -> float | None:
+    def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        parts = (self.placer.next_wakeup(), self.flows.next_wakeup())
+        parts = (self.placer, self.flows, self.streams)
+        times = [part.next_wakeup() for part in parts]
         control_at = self.control.next_wakeup(self.now)
-        return min((control_at, *(at for at in parts if at is not None)))
+        return min([control_at, *(at for at in times if at is not None)])
 
     def stop(self, *, now: float) -> list[Envelope]:
         """Announces a clean stop; the process ends after it is sent."""
@@ -182,7 +218,7 @@
 
     def idle(self) -> bool:
         """Tells whether a draining balancer may stop."""
-        return not self.placer.pending
+        return not self.placer.pending and not self.streams.table.streams
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
