Let a new home tell the other agents before a first attempt

Cause: an agent whose upstream had been declared long before ran a first attempt right after its start.

Change: for HOME_DELAY_S after its start, an agent queries the other agents before it runs a first attempt, which makes them hand over to it. While an upstream of the service is not known to run, it refuses as NO_UPSTREAM and the placer tries the next home. The histories now start declared agents late, use bursts, and let all upstreams of a service shed.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -81,10 +81,16 @@
         "if not self._unasked(record, now=now):",
         "if True:",
     ),
+    Mutation(
+        "new_home_without_queries",
+        "request_server.py",
+        "if offer.first_attempt and self._known_everywhere(now):",
+        "if offer.first_attempt:",
+    ),
     Mutation(
         "forget_earlier_incarnation",
         "request_server.py",
-        "remembers = self._remembers_all(now)",
+        "remembers = query.first_attempt or self._remembers_all(now)",
         "remembers = True",
     ),
     Mutation(
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -105,6 +105,7 @@
             started_at=now,
             admission=Admission(slots=slots),
             peers=self.peers,
+            all_running=self.all_running,
             placer=self.placer,
         )
         server = self.requests
@@ -173,6 +174,17 @@
             if self._may_remember(upstream, now=now)
         }
 
+    def all_running(self) -> bool:
+        """Tells whether every upstream that may know a request id runs."""
+        service = self.config.service(self.service_id)
+        if service is None:
+            return False
+        earlier = self.config.earlier_owners(self.service_id)
+        others = set(service.weights()).union(*earlier)
+        others.discard(self.announcement.upstream_id)
+        states = (MemberState.RUNNING, MemberState.DRAINING)
+        return others <= set(self.members.upstreams(self.service_id, *states))
+
     def usable_peers(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the other upstreams that may take new work."""
         running = self.members.upstreams(service_id, MemberState.RUNNING)
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -64,7 +64,8 @@
         may_have_run: True once an agent was left that did not refuse it.
         earlier_may_have_run: True until a home has ruled out that an earlier
             attempt of the caller ran.
-        excluded: Upstreams that said they are leaving.
+        excluded: Upstreams that said they are leaving, or not yet a home;
+            asked again once all others have refused too.
     """
 
     number: int
@@ -218,7 +219,10 @@
     def _fill(self, placement: Placement, *, now: float) -> None:
         """Chooses the candidates of a round."""
         weights = self.weights(placement, now)
-        usable = set(self.usable(placement.service_id)) - placement.excluded
+        running = set(self.usable(placement.service_id))
+        if running <= placement.excluded:
+            placement.excluded.clear()
+        usable = running - placement.excluded
         key = placement.request_id.encode()
         if placement.keyed:
             order = [up for up in owner_order(key, weights) if up in usable]
@@ -389,7 +393,7 @@
             placement.moves += 1
             if placement.moves <= MAX_MOVES and message.home is not None:
                 placement.candidates.insert(0, message.home)
-        elif message.kind is ErrorKind.DRAINING:
+        elif message.kind in (ErrorKind.DRAINING, ErrorKind.NO_UPSTREAM):
             placement.excluded.add(upstream_id)
         elif message.kind is ErrorKind.BUSY:
             placement.refused[upstream_id] = message.backlog
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from bramleydyke.constants import (
+    HOME_DELAY_S,
     OFFER_TIMEOUT_S,
     QUERY_TIMEOUT_S,
     RECORD_RETENTION_S,
@@ -73,6 +74,7 @@
         started_at: Start of this incarnation, in seconds.
         peers: Other upstreams that may know a request id: declared now or at
             an earlier generation still in history.
+        all_running: Tells whether all of them are known to run.
         placer: Places keyed requests when this upstream has no free slot.
         draining: True once the upstream takes no new work.
         records: What this agent knows of each request.
@@ -86,6 +88,7 @@
     started_at: float
     admission: Admission
     peers: Callable[[float], set[UpstreamId]]
+    all_running: Callable[[], bool]
     placer: Placer
     draining: bool = False
     records: RequestRecords = field(default_factory=RequestRecords)
@@ -333,11 +336,11 @@
     # Keyed requests.
 
     def _start_keyed(self, asker: Asker, offer: Offer, *, now: float) -> list[Envelope]:
-        if offer.first_attempt:
+        if offer.first_attempt and self._known_everywhere(now):
             record = self._add_record(asker, offer, RecordState.QUEUED, now=now)
             return self._run_or_place(record, now=now)
-        if not self._remembers_all(now):
-            kind = ErrorKind.RECORD_UNKNOWN
+        kind = self._refusal_as_home(offer, now=now)
+        if kind is not None:
             return self._refuse(asker, offer.request_id, offer.ask, kind, now=now)
         record = self._add_record(asker, offer, RecordState.QUERYING, now=now)
         record.query_ends_at = min(now + QUERY_TIMEOUT_S, record.deadline)
@@ -345,6 +348,21 @@
             return self._run_or_place(record, now=now)
         return [self._accepted(record, asker)] + self._query(record, now=now)
 
+    def _refusal_as_home(self, offer: Offer, *, now: float) -> ErrorKind | None:
+        """Returns why this agent cannot be the home of a request.
+
+        An agent that has just started may be unknown to a later home of the
+        same request, which then would not ask it. It runs a first attempt
+        only after every other agent has recorded that it has the request.
+        """
+        if offer.first_attempt:
+            return None if self.all_running() else ErrorKind.NO_UPSTREAM
+        return None if self._remembers_all(now) else ErrorKind.RECORD_UNKNOWN
+
+    def _known_everywhere(self, now: float) -> bool:
+        """Tells whether the announcement of this agent has spread."""
+        return now - self.started_at >= HOME_DELAY_S
+
     def _remembers_all(self, now: float) -> bool:
         """Tells whether no earlier incarnation can have run a live request."""
         return now - self.started_at >= RECORD_RETENTION_S
@@ -359,6 +377,7 @@
             request_id=record.request_id,
             service_id=self.service_id,
             home=self.upstream_id,
+            first_attempt=record.offer is not None and record.offer.first_attempt,
         )
         return [
             Envelope(self.node_id, agent_node(self.service_id, upstream), query)
@@ -368,7 +387,9 @@
     def _query_due(self, record: Record, *, now: float) -> list[Envelope]:
         if now < record.query_ends_at:
             return self._query(record, now=now)
-        return self._drop(record, ErrorKind.RECORD_UNKNOWN, now=now)
+        first_attempt = record.offer is not None and record.offer.first_attempt
+        kind = ErrorKind.NO_UPSTREAM if first_attempt else ErrorKind.RECORD_UNKNOWN
+        return self._drop(record, kind, now=now)
 
     def queried(
         self, sender: NodeId, query: RecordQuery, *, now: float
@@ -383,7 +404,7 @@
         out: list[Envelope] = []
         answer: bytes | None = None
         if record is None:
-            remembers = self._remembers_all(now)
+            remembers = query.first_attempt or self._remembers_all(now)
             knowledge = RecordKnowledge.NEVER if remembers else RecordKnowledge.UNKNOWN
             if remembers:
                 self._hand_over_unknown(query, now=now)
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -170,6 +170,8 @@
     request_id: RequestId
     service_id: ServiceId
     home: UpstreamId
+    first_attempt: bool = False
+    """True if no incarnation can have run the request before."""
 
 
 class RecordReply(Message):
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -168,10 +168,19 @@
         held: Messages that wait for each paused process.
         cut: Nodes that no message reaches or leaves.
         taps: Observers that may change a message's delivery.
+
+    Args:
+        absent: Declared upstreams whose agents have not started yet.
     """
 
     def __init__(
-        self, seed: int, *, balancers: int = 2, upstreams: int = 3, slots: int = 1
+        self,
+        seed: float,
+        *,
+        balancers: int = 2,
+        upstreams: int = 3,
+        slots: int = 1,
+        absent: Iterable[str] = (),
     ) -> None:
         self.random = random.Random(seed)
         self.now = START_S
@@ -195,7 +204,7 @@
         self._wakes: dict[NodeId, float] = {}
         names = [f"u{index}" for index in range(upstreams)]
         for service in SERVICES:
-            self.configure(service, names)
+            self.configure(service, [*names, *absent])
             for name in names:
                 self.start_agent(service, name, since=UP_SINCE_S)
         for index in range(balancers):
--- a/tests/history/scenario.py
+++ b/tests/history/scenario.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Callable
 
-from checker import Got
 from harness import (
     BOARD,
     IN_FORCE_S,
@@ -16,11 +15,14 @@
     World,
 )
 
-from bramleydyke.types import balancer_node
+from bramleydyke.types import ServiceId, balancer_node
 
 ACTIVE_S = 12.0
 """Time in which requests and faults begin."""
 
+LATE = "late"
+"""Name of an upstream that is declared but starts during the run, if ever."""
+
 REPEAT_S = 1.0
 """Callers repeat a request no sooner than this."""
 
@@ -33,14 +35,20 @@
         balancers=rng.randint(2, 4),
         upstreams=rng.randint(1, 4),
         slots=rng.randint(1, 2),
+        absent=rng.choice([[], [LATE]]),
     )
     world.spread_s = rng.choice([0.0, 0.5, 2.0, IN_FORCE_S])
     world.link = _link(rng)
+    for agent in world.agents():
+        world.behaviour[agent] = Behaviour(time_s=rng.choice([0.02, 0.1, 0.4]))
+    active_s = rng.choice([ACTIVE_S, 3.0, 0.5])
+    services = rng.choice([[*SERVICES], [BOARD]])
     for index in range(rng.randint(4, 14)):
-        _plan_request(world, rng, f"k{index}")
+        when = START_S + rng.uniform(0.0, active_s)
+        _plan_request(world, rng, rng.choice(services), f"k{index}", when)
     for _ in range(rng.choice([0, 1, 2, 3, 6])):
         fault = rng.choice(FAULTS)
-        when = START_S + rng.uniform(0.0, ACTIVE_S)
+        when = START_S + rng.uniform(-1.0, active_s + 2.0)
         world.at(when, lambda fault=fault: fault(world, rng))
     world.run(START_S + ACTIVE_S + 30.0)
     world.link = Link()
@@ -57,19 +65,20 @@
     return Link(
         loss=rng.choice([0.0, 0.02, 0.2]),
         double=rng.choice([0.0, 0.05, 0.3]),
-        late=rng.choice([0.0, 0.05, 0.3]),
-        late_s=rng.choice([0.1, 1.0, 5.0, 50.0]),
+        late=rng.choice([0.0, 0.05, 0.3, 0.6]),
+        late_s=rng.choice([0.1, 0.5, 1.0, 2.0, 5.0, 50.0]),
         base_s=rng.choice([0.001, 0.005, 0.05]),
     )
 
 
-def _plan_request(world: World, rng: random.Random, key: str) -> None:
-    service = rng.choice([*SERVICES])
+def _plan_request(
+    world: World, rng: random.Random, service: ServiceId, key: str, when: float
+) -> None:
+    """Plans a request and its repetitions at other balancers."""
     keyed = rng.random() < 0.75
     idempotent = not keyed and rng.random() < 0.6
     timeout = rng.choice([0.3, 1.0, 3.0, 3.0, 8.0])
     says_first = rng.random() < 0.7
-    when = START_S + rng.uniform(0.0, ACTIVE_S)
     for index in range(rng.choice([1, 2, 2, 3, 4]) if keyed else 1):
 
         def call(first: bool = says_first and index == 0) -> None:
@@ -165,6 +174,18 @@
     world.after(rng.uniform(0.0, 3.0), lambda: world.start_agent(service, name))
 
 
+def _start_late(world: World, rng: random.Random) -> None:
+    """Starts the agents of an upstream that was declared long before."""
+    for service in SERVICES:
+        if LATE in world.upstreams(service):
+            world.start_agent(service, LATE)
+
+
+def _shed_all(world: World, rng: random.Random) -> None:
+    for node_id in world.agents(rng.choice([*SERVICES])):
+        world.behaviour[node_id] = Behaviour(shed=1.0)
+
+
 FAULTS: list[Callable[[World, random.Random], None]] = [
     _crash_agent,
     _restart_agent,
@@ -178,6 +199,6 @@
     _misbehave,
     _drain,
     _configure,
+    _start_late,
+    _shed_all,
 ]
-
-__all__ = ["BOARD", "Got", "run_history"]
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
-from checker import Got
+import msgspec
+from checker import Got, Start
 from harness import BOARD, Behaviour, World
 
 from bramleydyke.core.records import Asker, RequestRecords
 from bramleydyke.errors import ErrorKind
-from bramleydyke.types import NodeId, RequestId
+from bramleydyke.messages import Accepted, Envelope, Offer
+from bramleydyke.types import (
+    LOCAL_PLATFORM,
+    MemberState,
+    NodeId,
+    RequestId,
+    UpstreamId,
+    agent_node,
+    balancer_node,
+)
 
 
 def test_late_copy_does_not_lower_the_refused_ask() -> None:
@@ -43,3 +53,66 @@
     world.call(BOARD, "k", balancer="b0")
     world.run(world.now + 10.0)
     assert [item.got for item in world.outcomes()] == [Got.NOT_RUN]
+
+
+def test_new_home_is_found_by_a_home_that_does_not_know_it() -> None:
+    """Guards against a second run where an agent's start is not yet known."""
+    world = World(1, upstreams=1, absent=["late"])
+    world.spread_s = 1e9
+    world.start_agent(BOARD, "late")
+    late = agent_node(BOARD, UpstreamId("late"))
+    told = Envelope(LOCAL_PLATFORM, balancer_node("b0"), world.announced[late])
+    world.deliver(told)
+    keys = [f"k{index}" for index in range(20)]
+    for key in keys:
+        world.call(BOARD, key, balancer="b0", first=True)
+    world.run(world.now + 2.0)
+    for key in keys:
+        world.call(BOARD, key, balancer="b1")
+    world.run(world.now + 10.0)
+    assert world.violations() == []
+    ran = {event.upstream for event in world.history if isinstance(event, Start)}
+    assert "late" in ran
+
+
+def test_first_attempt_that_was_handed_over_does_not_run() -> None:
+    """Guards against a late first offer after another home has run it."""
+    world = World(3, upstreams=2)
+    offers: list[Envelope] = []
+
+    def delay_first_offer(envelope: Envelope) -> list[float] | None:
+        if isinstance(envelope.payload, Offer) and not offers:
+            offers.append(envelope)
+            world.kill(envelope.sender)
+            return [3.0]
+        return None
+
+    world.taps.append(delay_first_offer)
+    world.call(BOARD, "k", balancer="b0", first=True)
+    home = world.announced[offers[0].receiver]
+    gone = msgspec.structs.replace(home, state=MemberState.SUSPECT)
+    world.deliver(Envelope(LOCAL_PLATFORM, balancer_node("b1"), gone))
+    world.run(world.now + 1.0)
+    world.call(BOARD, "k", balancer="b1")
+    world.run(world.now + 10.0)
+    assert world.violations() == []
+    assert [item.got for item in world.outcomes()] == [Got.DISCONNECTED, Got.ANSWER]
+
+
+def test_refusals_after_a_dead_agent_are_unknown() -> None:
+    """Guards against "not run" for a request that a dead agent ran."""
+    world = World(1, upstreams=2)
+
+    def kill_owner(envelope: Envelope) -> list[float] | None:
+        if not isinstance(envelope.payload, Accepted):
+            return None
+        world.kill(envelope.sender)
+        for agent in world.agents(BOARD):
+            world.behaviour[agent] = Behaviour(shed=1.0)
+        world.taps.clear()
+        return []
+
+    world.taps.append(kill_owner)
+    world.call(BOARD, "k", balancer="b0", idempotent=True, keyed=False)
+    world.run(world.now + 10.0)
+    assert [item.got for item in world.outcomes()] == [Got.UNKNOWN]
