Flows outlive the earlier owner sets; flow limit keeps established flows

Cause: a service carries eight earlier owner sets, so a flow that saw more changes could be found by hints only. A balancer at a partner's flow limit refused packets of flows that other balancers had established. All partners shared one probe budget. Change: agents recheck the first owner of their flows after a change and point the new one to them, 50 flows at a time. At the limit, packets are forwarded for established flows only. Probe budgets are per partner. Repeated streams code without effect is gone; tests for early bytes and for prompt window room. Conclusion: an established flow survives any number of changes while its new first owner gets the pointer.

--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -130,7 +130,7 @@
 """Unanswered probes after which a process counts as silent."""
 
 PROBES_PER_S = 100.0
-"""Flow probes a second of one balancer; 100 take about 6 KB/s."""
+"""Flow probes a second of one partner at a balancer; about 6 KB/s."""
 
 STREAM_WINDOW_BYTES = 256 * 1024
 """Unacknowledged bytes of one direction of a stream."""
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -252,7 +252,8 @@
     def _config_delta(
         self, _: NodeId, delta: ConfigDelta, now: float
     ) -> list[Envelope]:
-        self.config.apply(delta, now=now)
+        if self.config.apply(delta, now=now):
+            self.flows.configured(now=now)
         return []
 
     def _peer_announced(
@@ -263,7 +264,7 @@
             return []
         before = self.members.incarnation(announcement.node_id)
         merged = self.members.merge(announcement, now=now)
-        if self.gone(upstream_id):
+        if announcement.state is MemberState.STOPPED:
             self.flows.table.drop_pointers(upstream_id)
         elif merged and announcement.incarnation > before:
             return self.flows.peer_started(upstream_id)
--- a/src/bramleydyke/core/flow_router.py
+++ b/src/bramleydyke/core/flow_router.py
@@ -94,9 +94,7 @@
     hints: dict[PartnerId, FlowHints] = field(default_factory=dict)
     probes: Probes = field(default_factory=Probes)
     told_leaving: dict[NodeId, float] = field(default_factory=dict)
-    probe_budget: TokenBucket = field(
-        default_factory=lambda: TokenBucket(PROBES_PER_S, PROBES_PER_S, 0.0)
-    )
+    probe_budgets: dict[PartnerId, TokenBucket] = field(default_factory=dict)
 
     def configured(self) -> None:
         """Drops what was resolved from an earlier configuration."""
@@ -156,7 +154,7 @@
         )
         sent = [Envelope(self.node_id, node_id, forward)]
         if hint.unanswered >= SILENT_PACKETS and now - hint.since >= FLOW_SILENT_S:
-            sent += self._probe(node_id, flow_id, route.service_id, hint, now=now)
+            sent += self._probe(node_id, flow_id, route, hint, now=now)
         return sent
 
     def returned(
@@ -295,7 +293,9 @@
         """Sends the packet of a flow without hint to the first usable agent.
 
         Upstreams that are only unfit for new flows are still looked up; those
-        that cannot be reached are named as visited.
+        that cannot be reached are named as visited. If the partner has as
+        many flows here as it may, an agent delivers the packet only if
+        another balancer has established the flow.
         """
         service = self.config.service(route.service_id)
         assert service is not None
@@ -305,8 +305,7 @@
         target = first_usable(order, usable - set(silent))
         if target is None:
             return self._refuse(ErrorKind.NO_UPSTREAM)
-        if route.hints.add(flow_id, target, now=now) is None:
-            return self._refuse(ErrorKind.PARTNER_LIMIT)
+        hint = route.hints.add(flow_id, target, now=now)
         forward = PacketForward(
             flow_id=flow_id,
             address=message.address,
@@ -317,6 +316,7 @@
             balancer=self.node_id,
             data=message.data,
             visited=silent,
+            admissible=hint is not None,
             refused=tuple(up for up in order if up not in usable or up in silent),
         )
         receiver = agent_node(route.service_id, target)
@@ -340,21 +340,18 @@
             self.health.heard(node_id, now=now)
 
     def _probe(
-        self,
-        node_id: NodeId,
-        flow_id: FlowId,
-        service_id: ServiceId,
-        hint: Hint,
-        *,
-        now: float,
+        self, node_id: NodeId, flow_id: FlowId, route: Route, hint: Hint, *, now: float
     ) -> list[Envelope]:
         """Asks an agent for a flow whose packets get no answers.
 
         The agent must reply in any case; if it does not, all its flows move.
         """
-        probe = FlowProbe(flow_id=flow_id, service_id=service_id)
-        if node_id in self.probes.pending or not self.probe_budget.take(now=now):
+        budget = self.probe_budgets.setdefault(
+            route.partner_id, TokenBucket(PROBES_PER_S, PROBES_PER_S, now)
+        )
+        if node_id in self.probes.pending or not budget.take(now=now):
             return []
+        probe = FlowProbe(flow_id=flow_id, service_id=route.service_id)
         self.probes.start(node_id, probe, now=now)
         hint.unanswered = 0
         return [Envelope(self.node_id, node_id, probe)]
--- a/src/bramleydyke/core/flow_table.py
+++ b/src/bramleydyke/core/flow_table.py
@@ -62,7 +62,7 @@
         longest_run: Largest ``unanswered`` that an answer followed.
         longest_s: Longest time from ``since`` to an answer.
         rebinds: New sockets since the last answer.
-        displaced: True if it was admitted away from the key's first owner.
+        first_owner: The upstream that other agents and balancers ask first.
     """
 
     flow_id: FlowId
@@ -71,13 +71,13 @@
     balancer: NodeId
     seen: float
     since: float
+    first_owner: UpstreamId
     binding: int = 1
     answers: int = 0
     unanswered: int = 0
     longest_run: int = 0
     longest_s: float = 0.0
     rebinds: int = 0
-    displaced: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/bramleydyke/core/flows.py
+++ b/src/bramleydyke/core/flows.py
@@ -16,6 +16,7 @@
 from bramleydyke.constants import FLOW_SETTLE_S, MAX_HOPS
 from bramleydyke.core.config import ConfigStore
 from bramleydyke.core.flow_hints import flow_key
+from bramleydyke.core.flow_plan import planned
 from bramleydyke.core.flow_table import Flow, FlowTable, Silence
 from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.core.return_path import ReturnPath
@@ -43,8 +44,11 @@
     agent_node,
 )
 
-SETTLING_LOOKUPS = 4
-"""Agents of the owner order that are asked while this one has just started."""
+RECHECKS = 50
+"""Flows that are rechecked at a time; with 700 upstreams they take 30 ms."""
+
+RECHECK_S = 0.1
+"""Pause between rechecks: 2,000 flows take 4 s."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -57,6 +61,8 @@
             flows while this one was away, so at first it asks more of them.
         table: Flows held here.
         returns: Balancers that answers go through.
+        recheck: Flows whose first owner may have changed.
+        recheck_at: When the next of them are rechecked.
     """
 
     node_id: NodeId
@@ -68,19 +74,25 @@
     gone: Callable[[UpstreamId], bool]
     returns: ReturnPath
     table: FlowTable = field(default_factory=FlowTable)
+    recheck: list[FlowId] = field(default_factory=list)
+    recheck_at: float | None = None
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do."""
-        times = (self.table.timers.next(), self.returns.probes.timers.next())
+        probe_at = self.returns.probes.timers.next()
+        times = (self.table.timers.next(), probe_at, self.recheck_at)
         return min((at for at in times if at is not None), default=None)
 
     def wake(self, *, now: float) -> list[Envelope]:
-        """Ends idle flows and repeats probes."""
+        """Ends idle flows, repeats probes and rechecks first owners."""
         ended = [
             self._to_upstream(flow.flow_id, ErrorKind.CANCELLED)
             for flow in self.table.expire(now=now)
         ]
-        return ended + self.returns.wake(now=now)
+        sent = ended + self.returns.wake(now=now)
+        if self.recheck_at is not None and now >= self.recheck_at:
+            sent += self._recheck(now=now)
+        return sent
 
     def idle(self) -> bool:
         """Tells whether no flow is held here."""
@@ -154,7 +166,8 @@
 
     def _find(self, packet: PacketForward, *, now: float) -> list[Envelope]:
         """Passes the packet of an unknown flow on, or admits the flow."""
-        packet = self._planned(packet, now=now)
+        settling = now - self.started_at < FLOW_SETTLE_S
+        packet = planned(packet, self.config, settling=settling)
         visited = (*packet.visited, self.upstream_id)
         pointer = self.table.pointers.get(packet.flow_id)
         if pointer is not None and self._asks(pointer, visited):
@@ -165,33 +178,6 @@
                 return self._pass(packet, upstream_id, visited=visited)
         return self._admit_somewhere(packet, visited, now=now)
 
-    def _planned(self, packet: PacketForward, *, now: float) -> PacketForward:
-        """Returns the packet with the plan of the newest generation.
-
-        A packet that another agent has planned by a newer configuration than
-        this agent's keeps its plan.
-        """
-        generation = self.config.generation(self.partner_id)
-        if packet.admit and packet.generation > generation:
-            return packet
-        service = self.config.service(self.service_id)
-        if service is None:
-            return packet
-        key = flow_key(packet.flow_id)
-        order = owner_order(key, service.weights())
-        earlier = (
-            owner_order(key, weights)[:1]
-            for weights in self.config.earlier_owners(self.service_id)
-        )
-        lookups = 1 if now - self.started_at >= FLOW_SETTLE_S else SETTLING_LOOKUPS
-        chain = [*order[:lookups], *(up for first in earlier for up in first)]
-        return msgspec.structs.replace(
-            packet,
-            generation=generation,
-            lookup=tuple(dict.fromkeys(chain)),
-            admit=tuple(order),
-        )
-
     def _asks(self, upstream_id: UpstreamId, visited: tuple[UpstreamId, ...]) -> bool:
         return upstream_id not in visited and not self.gone(upstream_id)
 
@@ -217,6 +203,8 @@
         A flow that was silent here is admitted again if no other candidate is
         left.
         """
+        if not packet.admissible:
+            return self._refuse(packet, ErrorKind.PARTNER_LIMIT)
         kind = ErrorKind.NO_UPSTREAM if packet.admit else ErrorKind.STALE_GENERATION
         sent: list[Envelope] = []
         for upstream_id in self._candidates(packet):
@@ -248,7 +236,7 @@
             balancer=packet.balancer,
             seen=now,
             since=now,
-            displaced=packet.admit[0] != self.upstream_id,
+            first_owner=packet.admit[0],
         )
         self.table.admit(flow, now=now)
         sent = []
@@ -314,16 +302,41 @@
 
     def peer_started(self, upstream_id: UpstreamId) -> list[Envelope]:
         """Points an agent that has come back to flows it may be asked for."""
-        service = self.config.service(self.service_id)
-        weights = {} if service is None else service.weights()
         receiver = agent_node(self.service_id, upstream_id)
         return [
             self._hint(flow, receiver)
             for flow in self.table.flows.values()
-            if flow.displaced
-            and owner_order(flow_key(flow.flow_id), weights)[:1] == [upstream_id]
+            if flow.first_owner == upstream_id
         ]
 
+    # Changes of the configuration.
+
+    def configured(self, *, now: float) -> None:
+        """Starts to look for flows that have another first owner now."""
+        self.recheck = list(self.table.flows)
+        self.recheck_at = now
+
+    def _recheck(self, *, now: float) -> list[Envelope]:
+        """Points new first owners to the flows that are held here.
+
+        The earlier owner sets find a flow only for as many changes as a
+        service carries; an established flow may see more.
+        """
+        batch, self.recheck = self.recheck[:RECHECKS], self.recheck[RECHECKS:]
+        self.recheck_at = now + RECHECK_S if self.recheck else None
+        service = self.config.service(self.service_id)
+        weights = {} if service is None else service.weights()
+        sent = []
+        for flow in map(self.table.flows.get, batch):
+            order = [] if flow is None else owner_order(flow_key(flow.flow_id), weights)
+            if not order or order[0] == flow.first_owner:
+                continue
+            flow.first_owner = order[0]
+            if order[0] != self.upstream_id:
+                receiver = agent_node(self.service_id, order[0])
+                sent.append(self._hint(flow, receiver))
+        return sent
+
     # Replies.
 
     def _hint(self, flow: Flow, receiver: NodeId) -> Envelope:
--- a/src/bramleydyke/core/streams.py
+++ b/src/bramleydyke/core/streams.py
@@ -120,8 +120,6 @@
         if self.repeated == REPEATED_ACKS and self.tries == 0 and self.sender.buffer:
             return [self._first_piece()]
         if moved or not self.sender.outstanding():
-            if self.tries:
-                self.sender.rewind()
             self.tries = 0
             self.waiting = self.sender.outstanding()
             self._schedule(now=now)
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -291,6 +291,9 @@
     admit: tuple[UpstreamId, ...] = ()
     """Upstreams in the order in which they may admit the flow."""
 
+    admissible: bool = True
+    """False if the datagram is only for an established flow."""
+
 
 class PacketReturn(Message):
     """An upstream's datagram on its way back to the caller."""
--- a/tests/property/flow_network.py
+++ b/tests/property/flow_network.py
@@ -14,6 +14,7 @@
     full_delta,
     next_config,
 )
+from bramleydyke.core.limits import FLOWS_PER_PARTNER, PartnerLimits
 from bramleydyke.messages import (
     Count,
     Envelope,
@@ -57,7 +58,14 @@
         lost_types: Types of messages that are lost.
     """
 
-    def __init__(self, *, upstreams: int, balancers: int = 1, seed: int = 11) -> None:
+    def __init__(
+        self,
+        *,
+        upstreams: int,
+        balancers: int = 1,
+        seed: int = 11,
+        max_flows: int = FLOWS_PER_PARTNER,
+    ) -> None:
         self.now = 1000.0
         self.random = random.Random(seed)
         self.config = PartnerConfig(partner_id=PARTNER)
@@ -75,6 +83,7 @@
                 node_id=node_id,
                 incarnation=Incarnation(1),
                 random_source=random.Random(7),
+                limits=PartnerLimits(max_flows=max_flows),
             )
         names = [UpstreamId(f"u{index}") for index in range(upstreams)]
         for name in names:
--- a/tests/property/test_flows.py
+++ b/tests/property/test_flows.py
@@ -5,7 +5,12 @@
 from flow_network import ADDRESS, PARTNER, SERVICE, FlowNetwork
 from hypothesis import given, settings, strategies as st
 
-from bramleydyke.constants import AGENT_FLOWS, FLOW_SETTLE_S
+from bramleydyke.constants import (
+    AGENT_FLOWS,
+    EARLIER_SETS,
+    FLOW_SETTLE_S,
+    MAX_HOPS,
+)
 from bramleydyke.core.flow_hints import flow_id_of
 from bramleydyke.messages import (
     Envelope,
@@ -14,9 +19,11 @@
     PacketForward,
     PacketIn,
     PacketReturn,
+    SetDrain,
 )
 from bramleydyke.types import (
     LOCAL_CALLER,
+    LOCAL_PLATFORM,
     CallerAddress,
     Generation,
     ServiceId,
@@ -91,6 +98,27 @@
     assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
 
 
+def test_flow_is_found_after_more_changes_than_a_service_carries() -> None:
+    """Guards against a flow that outlives the earlier owner sets."""
+    network = FlowNetwork(upstreams=4, balancers=2)
+    names = [UpstreamId(f"u{index}") for index in range(4)]
+    home = {caller: network.packet(caller) for caller in CALLERS}
+    for change in range(2 * EARLIER_SETS):
+        heavy = names[change % 3 + 1]
+        network.configure({n: 9.0 + change if n == heavy else 1.0 for n in names})
+        network.sleep(1.0)
+    assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
+
+
+def test_removed_upstream_that_has_not_heard_gets_no_new_flow() -> None:
+    """Guards against an older configuration that overrules a newer one."""
+    network = FlowNetwork(upstreams=3)
+    leaving = agent_node(SERVICE, UpstreamId("u0"))
+    kept = {UpstreamId("u1"): 1.0, UpstreamId("u2"): 1.0}
+    network.configure(kept, only=set(network.nodes) - {leaving})
+    assert {network.packet(caller) for caller in CALLERS} == set(kept)
+
+
 def test_restarted_agent_admits_again_and_the_break_is_counted() -> None:
     """Guards against a flow that stays with an agent which forgot it."""
     network = FlowNetwork(upstreams=1)
@@ -244,6 +272,51 @@
     assert network.to_callers[CALLERS[0]] > 1
 
 
+def test_answers_leave_a_balancer_that_is_about_to_stop() -> None:
+    """Guards against answers that are lost with a planned stop."""
+    network = FlowNetwork(upstreams=1, balancers=2)
+    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    leaving = network.balancers[0]
+    drain = SetDrain(draining=True)
+    network.send(Envelope(LOCAL_PLATFORM, leaving, drain))
+    network.packet(CALLERS[0])
+    assert network.to_callers[CALLERS[0]] == 1
+    assert agent.flows.returns.choose(leaving) == network.balancers[1]
+
+
+def test_partner_at_its_flow_limit_keeps_flows_of_other_balancers() -> None:
+    """Guards against established flows refused for want of a hint."""
+    network = FlowNetwork(upstreams=2, balancers=2, max_flows=4)
+    home = {caller: network.packet(caller) for caller in CALLERS[:4]}
+    for caller in CALLERS[4:8]:
+        home[caller] = network.packet(caller, via=1)
+    assert network.packet(CALLERS[8]) is None
+    assert network.counts["refused.partner_limit"] == 1
+    for via in (0, 1):
+        assert {caller: network.packet(caller, via=via) for caller in home} == home
+
+
+def test_packet_that_was_passed_on_too_often_is_refused() -> None:
+    """Guards against packets that circle between agents."""
+    network = FlowNetwork(upstreams=2)
+    network.drain(UpstreamId("u0"))
+    packet = PacketForward(
+        flow_id=flow_id_of(ADDRESS, CallerAddress(CALLERS[0])),
+        address=ADDRESS,
+        caller=CallerAddress(CALLERS[0]),
+        partner_id=PARTNER,
+        service_id=SERVICE,
+        generation=Generation(1),
+        balancer=network.balancers[0],
+        data=b"x",
+        hops=MAX_HOPS,
+    )
+    receiver = agent_node(SERVICE, UpstreamId("u0"))
+    network.send(Envelope(network.balancers[0], receiver, packet))
+    assert network.delivered == []
+    assert network.counts["refused.hop_limit"] == 1
+
+
 def test_full_agents_refuse_new_flows_and_keep_the_old() -> None:
     """Guards against an unbounded table, and against evicted flows."""
     network = FlowNetwork(upstreams=2)
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -63,6 +63,8 @@
         self.random = random.Random(seed)
         self.loss = 0.0
         self.links_down = False
+        self.crossing = False
+        self.greeting = b""
         self.stuck: set[str] = set()
         self.refuse_connect: set[NodeId] = set()
         self.transit: list[tuple[float, int, Envelope]] = []
@@ -132,7 +134,8 @@
             elif item.receiver in (LOCAL_CALLER, LOCAL_UPSTREAM):
                 self.port(item)
             elif not self.links_down and self.random.random() >= self.loss:
-                delay = self.random.uniform(0.001, 0.02 if self.loss else 0.001)
+                crossing = self.crossing or self.loss > 0.0
+                delay = self.random.uniform(0.001, 0.02 if crossing else 0.001)
                 self.sent += 1
                 self.transit.append((self.now + delay, self.sent, item))
 
@@ -146,6 +149,8 @@
                     connection=message.connection, kind=ErrorKind.UPSTREAM_FAILED
                 )
             self.receive(Envelope(LOCAL_UPSTREAM, item.sender, reply))
+            if self.greeting:
+                self.upstream(_data(message.connection, self.greeting))
         elif isinstance(message, ConnectionData):
             self.got[message.connection] += message.data
             written = ConnectionWritten(
@@ -221,6 +226,18 @@
     assert network.nodes[agent_node(SERVICE, UpstreamId("u0"))].streams.idle()
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_greeting_that_overtakes_the_opening_arrives(seed: int) -> None:
+    """Guards against a reset when an upstream's first bytes come early."""
+    network = StreamNetwork(seed=seed)
+    network.crossing = True
+    network.greeting = b"220 bulletin"
+    network.open()
+    network.run(1.0)
+    assert network.got[CALLER] == b"220 bulletin"
+    assert network.aborts == {}
+
+
 def test_stream_resumes_after_a_broken_link() -> None:
     """Guards against a caller that is cut off when a link breaks."""
     network = StreamNetwork()
@@ -251,7 +268,7 @@
     assert network.aborts == {}
     network.stuck.clear()
     network.upstream(ConnectionWritten(connection=remote, amount=STREAM_WINDOW_BYTES))
-    network.run(5.0)
+    network.run(0.2)
     assert len(network.got[remote]) == sent
     assert network.paused[CALLER] is False
 
