Leave a flow that was admitted twice to one agent

Change: packets follow once an agent that said it holds the flow, even if they were there before. Two agents that hold a flow compare how long; the one that held it for over a second longer keeps it, else the larger name does.

--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -160,7 +160,7 @@
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
             PacketForward: lambda _, msg, now: flows.forwarded(msg, now=now),
             PacketAnswered: lambda _, msg, now: flows.answered(msg, now=now),
-            FlowHint: lambda who, msg, _: flows.hinted(who, msg),
+            FlowHint: lambda who, msg, now: flows.peers.hinted(who, msg, now=now),
             FlowProbe: lambda who, msg, _: flows.probed(who, msg),
             FlowAlive: lambda who, msg, now: flows.alive(who, msg, now=now),
             StreamOpen: lambda who, msg, now: streams.open(who, msg, now=now),
@@ -253,7 +253,7 @@
         self, _: NodeId, delta: ConfigDelta, now: float
     ) -> list[Envelope]:
         if self.config.apply(delta, now=now):
-            self.flows.configured(now=now)
+            self.flows.peers.configured(now=now)
         return []
 
     def _peer_announced(
@@ -267,7 +267,7 @@
         if announcement.state is MemberState.STOPPED:
             self.flows.table.drop_pointers(upstream_id)
         elif merged and announcement.incarnation > before:
-            return self.flows.peer_started(upstream_id)
+            return self.flows.peers.peer_started(upstream_id, now=now)
         return []
 
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
--- /dev/null
+++ b/src/bramleydyke/core/flow_peers.py
@@ -0,0 +1,160 @@
+"""What agents tell each other, and balancers, about the flows they hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.core.config import ConfigStore
+from bramleydyke.core.flow_hints import flow_key
+from bramleydyke.core.flow_table import Flow, FlowTable
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import Count, Envelope, FlowHint, FlowReset
+from bramleydyke.types import (
+    LOCAL_METRICS,
+    LOCAL_UPSTREAM,
+    FlowId,
+    NodeId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+CROSSING_S = 1.0
+"""Packets of a new flow that cross are admitted within this time."""
+
+RECHECK_S = 0.1
+"""Pause between rechecks: 2,000 flows take 4 s."""
+
+RECHECKS = 50
+"""Flows that are rechecked at a time; with 700 upstreams they take 30 ms."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FlowPeers:
+    """Keeps other agents' pointers to the flows of one agent right.
+
+    Attributes:
+        table: Flows held here, and pointers to those of other agents.
+        recheck: Flows whose first owner may have changed.
+        recheck_at: When the next of them are rechecked.
+    """
+
+    node_id: NodeId
+    service_id: ServiceId
+    upstream_id: UpstreamId
+    config: ConfigStore
+    table: FlowTable
+    recheck: list[FlowId] = field(default_factory=list)
+    recheck_at: float | None = None
+
+    def hinted(
+        self, sender: NodeId, message: FlowHint, *, now: float
+    ) -> list[Envelope]:
+        """Notes which other agent holds a flow."""
+        expected = agent_node(self.service_id, message.owner)
+        if message.service_id != self.service_id or sender != expected:
+            return self.count(ErrorKind.WRONG_SERVICE)
+        flow = self.table.flows.get(message.flow_id)
+        if flow is not None:
+            return self._settle(flow, message, now=now)
+        self.table.point(message.flow_id, message.owner, holds=True)
+        return []
+
+    def _settle(self, flow: Flow, message: FlowHint, *, now: float) -> list[Envelope]:
+        """Leaves a flow that two agents hold to one of them.
+
+        Only first packets that cross can be admitted twice, so a flow that
+        has been held for longer is the established one and stays.
+        """
+        lead = now - flow.admitted_at - message.age
+        by_name = self.upstream_id > message.owner and lead >= -CROSSING_S
+        if lead > CROSSING_S or by_name:
+            receiver = agent_node(self.service_id, message.owner)
+            reply = self.hint(flow, receiver, reply=True, now=now)
+            return [] if message.reply else [reply]
+        self.table.remove(flow.flow_id)
+        self.table.point(flow.flow_id, message.owner, holds=True)
+        closed = self.end_at_upstream(flow.flow_id, ErrorKind.MOVED)
+        return [closed, *self.count(ErrorKind.MOVED, action="resolved")]
+
+    def peer_started(self, upstream_id: UpstreamId, *, now: float) -> list[Envelope]:
+        """Points an agent that has come back to flows it may be asked for."""
+        receiver = agent_node(self.service_id, upstream_id)
+        return [
+            self.hint(flow, receiver, now=now)
+            for flow in self.table.flows.values()
+            if flow.first_owner == upstream_id
+        ]
+
+    # Changes of the configuration.
+
+    def configured(self, *, now: float) -> None:
+        """Starts to look for flows that have another first owner now."""
+        self.recheck = list(self.table.flows)
+        self.recheck_at = now
+
+    def wake(self, *, now: float) -> list[Envelope]:
+        """Points new first owners to the flows that are held here.
+
+        The earlier owner sets find a flow only for as many changes as a
+        service carries; an established flow may see more.
+        """
+        if self.recheck_at is None or now < self.recheck_at:
+            return []
+        batch, self.recheck = self.recheck[:RECHECKS], self.recheck[RECHECKS:]
+        self.recheck_at = now + RECHECK_S if self.recheck else None
+        service = self.config.service(self.service_id)
+        weights = {} if service is None else service.weights()
+        sent = []
+        for flow in map(self.table.flows.get, batch):
+            order = [] if flow is None else owner_order(flow_key(flow.flow_id), weights)
+            if not order or order[0] == flow.first_owner:
+                continue
+            flow.first_owner = order[0]
+            if order[0] != self.upstream_id:
+                receiver = agent_node(self.service_id, order[0])
+                sent.append(self.hint(flow, receiver, now=now))
+        return sent
+
+    # Messages.
+
+    def hint(
+        self, flow: Flow, receiver: NodeId, *, now: float, reply: bool = False
+    ) -> Envelope:
+        """Returns the message that names this agent as a flow's owner."""
+        hint = FlowHint(
+            flow_id=flow.flow_id,
+            service_id=self.service_id,
+            address=flow.address,
+            caller=flow.caller,
+            owner=self.upstream_id,
+            age=now - flow.admitted_at,
+            reply=reply,
+        )
+        return Envelope(self.node_id, receiver, hint)
+
+    def reset(
+        self,
+        receiver: NodeId,
+        flow_id: FlowId,
+        upstream_id: UpstreamId,
+        kind: ErrorKind,
+    ) -> Envelope:
+        """Returns the message that an upstream does not hold a flow."""
+        reset = FlowReset(
+            flow_id=flow_id,
+            service_id=self.service_id,
+            upstream_id=upstream_id,
+            kind=kind,
+        )
+        return Envelope(self.node_id, receiver, reset)
+
+    def end_at_upstream(self, flow_id: FlowId, kind: ErrorKind) -> Envelope:
+        """Returns the message that closes a flow's upstream socket."""
+        return self.reset(LOCAL_UPSTREAM, flow_id, self.upstream_id, kind)
+
+    def count(self, kind: ErrorKind, *, action: str = "refused") -> list[Envelope]:
+        """Returns the message that counts a kind."""
+        count = Count(name=counter_name(kind, action=action))
+        return [Envelope(self.node_id, LOCAL_METRICS, count)]
--- a/src/bramleydyke/core/flow_table.py
+++ b/src/bramleydyke/core/flow_table.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from bramleydyke.constants import (
     AGENT_FLOWS,
@@ -49,6 +50,14 @@
     """New sockets did not help; the flow has been removed."""
 
 
+class Pointer(NamedTuple):
+    """Where the packets of a flow that is not held here go."""
+
+    owner: UpstreamId
+    holds: bool
+    """True if the owner said that it holds the flow; else it may admit it."""
+
+
 @dataclass(slots=True)
 class Flow:
     """A datagram flow that an agent holds.
@@ -69,6 +78,7 @@
     address: ServiceAddress
     caller: CallerAddress
     balancer: NodeId
+    admitted_at: float
     seen: float
     since: float
     first_owner: UpstreamId
@@ -94,7 +104,7 @@
     max_flows: int = AGENT_FLOWS
     draining: bool = False
     flows: dict[FlowId, Flow] = field(default_factory=dict)
-    pointers: OrderedDict[FlowId, UpstreamId] = field(default_factory=OrderedDict)
+    pointers: OrderedDict[FlowId, Pointer] = field(default_factory=OrderedDict)
     avoided: OrderedDict[FlowId, float] = field(default_factory=OrderedDict)
     timers: Timers[FlowId] = field(default_factory=Timers)
 
@@ -119,16 +129,16 @@
         del self.flows[flow_id]
         self.timers.cancel(flow_id)
 
-    def point(self, flow_id: FlowId, owner: UpstreamId) -> None:
+    def point(self, flow_id: FlowId, owner: UpstreamId, *, holds: bool = False) -> None:
         """Notes that another agent holds, or will admit, a flow."""
-        self.pointers[flow_id] = owner
+        self.pointers[flow_id] = Pointer(owner, holds)
         self.pointers.move_to_end(flow_id)
         if len(self.pointers) > self.max_flows * POINTERS_PER_FLOW:
             self.pointers.popitem(last=False)
 
     def drop_pointers(self, owner: UpstreamId) -> None:
         """Forgets all pointers to an agent that is gone."""
-        for flow_id in [key for key, value in self.pointers.items() if value == owner]:
+        for flow_id in [key for key, to in self.pointers.items() if to.owner == owner]:
             del self.pointers[flow_id]
 
     def delivered(self, flow: Flow, balancer: NodeId, *, now: float) -> Silence:
--- a/src/bramleydyke/core/flows.py
+++ b/src/bramleydyke/core/flows.py
@@ -15,28 +15,22 @@
 
 from bramleydyke.constants import FLOW_SETTLE_S, MAX_HOPS, MAX_PACKET_BYTES
 from bramleydyke.core.config import ConfigStore
-from bramleydyke.core.flow_hints import flow_key
+from bramleydyke.core.flow_peers import FlowPeers
 from bramleydyke.core.flow_plan import planned
-from bramleydyke.core.flow_table import Flow, FlowTable, Silence
-from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.flow_table import Flow, FlowTable, Pointer, Silence
 from bramleydyke.core.return_path import ReturnPath
-from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import (
-    Count,
     Envelope,
     FlowAlive,
-    FlowHint,
     FlowProbe,
-    FlowReset,
     PacketAnswered,
     PacketDeliver,
     PacketForward,
     PacketReturn,
 )
 from bramleydyke.types import (
-    LOCAL_METRICS,
     LOCAL_UPSTREAM,
-    FlowId,
     NodeId,
     PartnerId,
     ServiceId,
@@ -44,12 +38,6 @@
     agent_node,
 )
 
-RECHECKS = 50
-"""Flows that are rechecked at a time; with 700 upstreams they take 30 ms."""
-
-RECHECK_S = 0.1
-"""Pause between rechecks: 2,000 flows take 4 s."""
-
 
 @dataclass(slots=True, kw_only=True)
 class FlowServer:
@@ -61,8 +49,7 @@
             flows while this one was away, so at first it asks more of them.
         table: Flows held here.
         returns: Balancers that answers go through.
-        recheck: Flows whose first owner may have changed.
-        recheck_at: When the next of them are rechecked.
+        peers: Messages about the flows held here and elsewhere.
     """
 
     node_id: NodeId
@@ -74,25 +61,30 @@
     gone: Callable[[UpstreamId], bool]
     returns: ReturnPath
     table: FlowTable = field(default_factory=FlowTable)
-    recheck: list[FlowId] = field(default_factory=list)
-    recheck_at: float | None = None
+    peers: FlowPeers = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.peers = FlowPeers(
+            node_id=self.node_id,
+            service_id=self.service_id,
+            upstream_id=self.upstream_id,
+            config=self.config,
+            table=self.table,
+        )
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do."""
         probe_at = self.returns.probes.timers.next()
-        times = (self.table.timers.next(), probe_at, self.recheck_at)
+        times = (self.table.timers.next(), probe_at, self.peers.recheck_at)
         return min((at for at in times if at is not None), default=None)
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Ends idle flows, repeats probes and rechecks first owners."""
         ended = [
-            self._to_upstream(flow.flow_id, ErrorKind.CANCELLED)
+            self.peers.end_at_upstream(flow.flow_id, ErrorKind.CANCELLED)
             for flow in self.table.expire(now=now)
         ]
-        sent = ended + self.returns.wake(now=now)
-        if self.recheck_at is not None and now >= self.recheck_at:
-            sent += self._recheck(now=now)
-        return sent
+        return ended + self.returns.wake(now=now) + self.peers.wake(now=now)
 
     def idle(self) -> bool:
         """Tells whether no flow is held here."""
@@ -116,9 +108,9 @@
         """Sends an upstream's packet back through a balancer."""
         flow = self.table.flows.get(message.flow_id)
         if flow is None or message.binding > flow.binding:
-            return self._count(ErrorKind.FORGOTTEN)
+            return self.peers.count(ErrorKind.FORGOTTEN)
         if len(message.data) > MAX_PACKET_BYTES:
-            return self._count(ErrorKind.FRAME_TOO_LARGE)
+            return self.peers.count(ErrorKind.FRAME_TOO_LARGE)
         self.table.answered(flow, now=now)
         balancer = self.returns.choose(flow.balancer, now=now)
         answer = PacketReturn(
@@ -140,7 +132,7 @@
             return self._end_silent(flow, packet)
         sent = []
         if silence is Silence.REBIND:
-            sent += self._count(ErrorKind.FLOW_SILENT, action="retried")
+            sent += self.peers.count(ErrorKind.FLOW_SILENT, action="retried")
         deliver = PacketDeliver(
             flow_id=flow.flow_id,
             binding=flow.binding,
@@ -150,7 +142,7 @@
         )
         sent.append(Envelope(self.node_id, LOCAL_UPSTREAM, deliver))
         if packet.hinted != self.upstream_id:
-            sent.append(self._hint(flow, packet.balancer))
+            sent.append(self.peers.hint(flow, packet.balancer, now=now))
         return sent
 
     def _end_silent(self, flow: Flow, packet: PacketForward) -> list[Envelope]:
@@ -160,8 +152,8 @@
         """
         kind = ErrorKind.FLOW_SILENT
         return [
-            self._reset(packet.balancer, flow.flow_id, self.upstream_id, kind),
-            self._to_upstream(flow.flow_id, kind),
+            self.peers.reset(packet.balancer, flow.flow_id, self.upstream_id, kind),
+            self.peers.end_at_upstream(flow.flow_id, kind),
         ]
 
     # Lookup and admission.
@@ -172,14 +164,25 @@
         packet = planned(packet, self.config, settling=settling)
         visited = (*packet.visited, self.upstream_id)
         pointer = self.table.pointers.get(packet.flow_id)
-        if pointer is not None and self._asks(pointer, visited):
-            return self._pass(packet, pointer, visited=visited)
+        if pointer is not None and self._follows(packet, pointer):
+            followed = (*packet.followed, pointer.owner)
+            packet = msgspec.structs.replace(packet, followed=followed)
+            return self._pass(packet, pointer.owner, visited=visited)
         for upstream_id in packet.lookup:
             if self._asks(upstream_id, visited):
                 self._point_to_candidate(packet)
                 return self._pass(packet, upstream_id, visited=visited)
         return self._admit_somewhere(packet, visited, now=now)
 
+    def _follows(self, packet: PacketForward, pointer: Pointer) -> bool:
+        """Tells whether a packet goes where a pointer leads.
+
+        An agent that said it holds the flow may have admitted it after this
+        packet had been there, so it is asked once more.
+        """
+        known = packet.followed if pointer.holds else packet.visited
+        return self._asks(pointer.owner, known)
+
     def _asks(self, upstream_id: UpstreamId, visited: tuple[UpstreamId, ...]) -> bool:
         return upstream_id not in visited and not self.gone(upstream_id)
 
@@ -219,10 +222,10 @@
             kind = refusal
             refused = (*packet.refused, self.upstream_id)
             packet = msgspec.structs.replace(packet, refused=refused)
-            sent += self._count(refusal)
+            sent += self.peers.count(refusal)
             if refusal is ErrorKind.DRAINING:
                 sent.append(
-                    self._reset(
+                    self.peers.reset(
                         packet.balancer, packet.flow_id, self.upstream_id, refusal
                     )
                 )
@@ -236,6 +239,7 @@
             address=packet.address,
             caller=packet.caller,
             balancer=packet.balancer,
+            admitted_at=now,
             seen=now,
             since=now,
             first_owner=packet.admit[0],
@@ -244,10 +248,12 @@
         sent = []
         if packet.hinted is not None:
             kind = ErrorKind.FORGOTTEN
-            sent.append(self._reset(packet.balancer, flow.flow_id, packet.hinted, kind))
+            sent.append(
+                self.peers.reset(packet.balancer, flow.flow_id, packet.hinted, kind)
+            )
         asked = {*packet.visited, packet.admit[0]} - {self.upstream_id}
         sent += [
-            self._hint(flow, agent_node(self.service_id, upstream_id))
+            self.peers.hint(flow, agent_node(self.service_id, upstream_id), now=now)
             for upstream_id in sorted(asked)
             if not self.gone(upstream_id)
         ]
@@ -271,15 +277,6 @@
 
     # Messages about flows.
 
-    def hinted(self, sender: NodeId, message: FlowHint) -> list[Envelope]:
-        """Notes which other agent holds a flow."""
-        expected = agent_node(self.service_id, message.owner)
-        if message.service_id != self.service_id or sender != expected:
-            return self._count(ErrorKind.WRONG_SERVICE)
-        if message.flow_id not in self.table.flows:
-            self.table.point(message.flow_id, message.owner)
-        return []
-
     def probed(self, sender: NodeId, message: FlowProbe) -> list[Envelope]:
         """Tells a balancer whether this agent holds a flow.
 
@@ -288,12 +285,14 @@
         """
         flow_id = message.flow_id
         if message.service_id != self.service_id:
-            return self._count(ErrorKind.WRONG_SERVICE)
+            return self.peers.count(ErrorKind.WRONG_SERVICE)
         if flow_id in self.table.flows:
             alive = FlowAlive(flow_id=flow_id, service_id=self.service_id)
             return [Envelope(self.node_id, sender, alive)]
         self.table.pointers.pop(flow_id, None)
-        return [self._reset(sender, flow_id, self.upstream_id, ErrorKind.FORGOTTEN)]
+        return [
+            self.peers.reset(sender, flow_id, self.upstream_id, ErrorKind.FORGOTTEN)
+        ]
 
     def alive(
         self, sender: NodeId, message: FlowAlive, *, now: float
@@ -302,77 +301,10 @@
         self.returns.alive(sender, message, now=now)
         return []
 
-    def peer_started(self, upstream_id: UpstreamId) -> list[Envelope]:
-        """Points an agent that has come back to flows it may be asked for."""
-        receiver = agent_node(self.service_id, upstream_id)
-        return [
-            self._hint(flow, receiver)
-            for flow in self.table.flows.values()
-            if flow.first_owner == upstream_id
-        ]
-
-    # Changes of the configuration.
-
-    def configured(self, *, now: float) -> None:
-        """Starts to look for flows that have another first owner now."""
-        self.recheck = list(self.table.flows)
-        self.recheck_at = now
-
-    def _recheck(self, *, now: float) -> list[Envelope]:
-        """Points new first owners to the flows that are held here.
-
-        The earlier owner sets find a flow only for as many changes as a
-        service carries; an established flow may see more.
-        """
-        batch, self.recheck = self.recheck[:RECHECKS], self.recheck[RECHECKS:]
-        self.recheck_at = now + RECHECK_S if self.recheck else None
-        service = self.config.service(self.service_id)
-        weights = {} if service is None else service.weights()
-        sent = []
-        for flow in map(self.table.flows.get, batch):
-            order = [] if flow is None else owner_order(flow_key(flow.flow_id), weights)
-            if not order or order[0] == flow.first_owner:
-                continue
-            flow.first_owner = order[0]
-            if order[0] != self.upstream_id:
-                receiver = agent_node(self.service_id, order[0])
-                sent.append(self._hint(flow, receiver))
-        return sent
-
     # Replies.
 
-    def _hint(self, flow: Flow, receiver: NodeId) -> Envelope:
-        hint = FlowHint(
-            flow_id=flow.flow_id,
-            service_id=self.service_id,
-            address=flow.address,
-            caller=flow.caller,
-            owner=self.upstream_id,
-        )
-        return Envelope(self.node_id, receiver, hint)
-
-    def _reset(
-        self,
-        receiver: NodeId,
-        flow_id: FlowId,
-        upstream_id: UpstreamId,
-        kind: ErrorKind,
-    ) -> Envelope:
-        reset = FlowReset(
-            flow_id=flow_id,
-            service_id=self.service_id,
-            upstream_id=upstream_id,
-            kind=kind,
-        )
-        return Envelope(self.node_id, receiver, reset)
-
-    def _to_upstream(self, flow_id: FlowId, kind: ErrorKind) -> Envelope:
-        return self._reset(LOCAL_UPSTREAM, flow_id, self.upstream_id, kind)
-
     def _refuse(self, packet: PacketForward, kind: ErrorKind) -> list[Envelope]:
-        reset = self._reset(packet.balancer, packet.flow_id, self.upstream_id, kind)
-        return [reset, *self._count(kind)]
-
-    def _count(self, kind: ErrorKind, *, action: str = "refused") -> list[Envelope]:
-        count = Count(name=counter_name(kind, action=action))
-        return [Envelope(self.node_id, LOCAL_METRICS, count)]
+        reset = self.peers.reset(
+            packet.balancer, packet.flow_id, self.upstream_id, kind
+        )
+        return [reset, *self.peers.count(kind)]
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -291,6 +291,9 @@
     admit: tuple[UpstreamId, ...] = ()
     """Upstreams in the order in which they may admit the flow."""
 
+    followed: tuple[UpstreamId, ...] = ()
+    """Upstreams that were asked because they had said that they hold it."""
+
     admissible: bool = True
     """False if the datagram is only for an established flow."""
 
@@ -313,6 +316,11 @@
     address: ServiceAddress
     caller: CallerAddress
     owner: UpstreamId
+    age: float = 0.0
+    """Seconds since the owner admitted the flow."""
+
+    reply: bool = False
+    """True if it answers another agent that also holds the flow."""
 
 
 class FlowReset(Message):
--- a/tests/property/test_flows.py
+++ b/tests/property/test_flows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
 from flow_network import ADDRESS, PARTNER, SERVICE, FlowNetwork
 from hypothesis import given, settings, strategies as st
 
@@ -11,6 +13,7 @@
     FLOW_SETTLE_S,
     MAX_HOPS,
 )
+from bramleydyke.core.agent import Agent
 from bramleydyke.core.flow_hints import flow_id_of
 from bramleydyke.messages import (
     Envelope,
@@ -68,6 +71,20 @@
         network.dead.discard(network.balancers[index])
 
 
+def _forward(network: FlowNetwork, caller: str, **fields) -> PacketForward:
+    packet = PacketForward(
+        flow_id=flow_id_of(ADDRESS, CallerAddress(caller)),
+        address=ADDRESS,
+        caller=CallerAddress(caller),
+        partner_id=PARTNER,
+        service_id=SERVICE,
+        generation=Generation(1),
+        balancer=network.balancers[0],
+        data=b"x",
+    )
+    return msgspec.structs.replace(packet, **fields)
+
+
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(steps=STEPS, spray=st.randoms(use_true_random=False))
 def test_planned_changes_break_no_flow(steps: list[tuple], spray) -> None:
@@ -168,7 +185,7 @@
     network.drain(UpstreamId("u0"))
     home = {caller: network.packet(caller) for caller in CALLERS}
     network.drain(UpstreamId("u0"), draining=False)
-    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    agent = _agent(network, "u0")
     for balancer in network.balancers:
         network.send(Envelope(agent.node_id, balancer, agent.announcement))
     assert {caller: network.packet(caller, via=1) for caller in CALLERS} == home
@@ -215,6 +232,37 @@
         assert len(owners) == 1 and None not in owners
 
 
+@pytest.mark.parametrize("lead, owner", [(0.5, "u1"), (5.0, "u0")])
+def test_flow_admitted_twice_is_left_to_one_agent(lead: float, owner: str) -> None:
+    """Guards against a lasting split, and against a lost established flow."""
+    network = FlowNetwork(upstreams=2)
+    names = (UpstreamId("u0"), UpstreamId("u1"))
+    for name, other, lost in zip(names, names[::-1], ({FlowHint}, set()), strict=True):
+        network.lost_types = lost
+        packet = _forward(network, CALLERS[0], visited=(other,), refused=(other,))
+        receiver = agent_node(SERVICE, name)
+        network.send(Envelope(network.balancers[0], receiver, packet))
+        network.now += lead
+    holders = [name for name in names if not _agent(network, name).flows.idle()]
+    assert holders == [owner]
+    assert [network.packet(CALLERS[0]) for _ in range(3)] == [owner] * 3
+
+
+def test_packet_follows_a_flow_admitted_behind_its_back() -> None:
+    """Guards against a second owner if a lookup came before the admission."""
+    network = FlowNetwork(upstreams=2)
+    u0, u1 = UpstreamId("u0"), UpstreamId("u1")
+    first = _forward(network, CALLERS[0], visited=(u0,), refused=(u0,))
+    network.send(Envelope(network.balancers[0], agent_node(SERVICE, u1), first))
+    crossing = _forward(network, CALLERS[0], visited=(u1,), refused=(u1,))
+    network.send(Envelope(network.balancers[0], agent_node(SERVICE, u0), crossing))
+    assert [name for name, _, _ in network.delivered] == [u1, u1]
+
+
+def _agent(network: FlowNetwork, name: str) -> Agent:
+    return network.nodes[agent_node(SERVICE, UpstreamId(name))]
+
+
 def test_silent_agent_is_found_by_probes_and_its_flows_move() -> None:
     """Guards against flows that stay with an agent that died unannounced."""
     network = FlowNetwork(upstreams=3)
@@ -270,7 +318,7 @@
 def test_answers_go_through_another_balancer_when_theirs_is_gone() -> None:
     """Guards against a board that goes silent with the balancer."""
     network = FlowNetwork(upstreams=1, balancers=2)
-    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    agent = _agent(network, "u0")
     network.packet(CALLERS[0])
     network.dead.add(network.balancers[0])
     flow = next(iter(agent.flows.table.flows.values()))
@@ -287,7 +335,7 @@
 def test_answers_leave_a_balancer_that_is_about_to_stop() -> None:
     """Guards against answers that are lost with a planned stop."""
     network = FlowNetwork(upstreams=1, balancers=2)
-    agent = network.nodes[agent_node(SERVICE, UpstreamId("u0"))]
+    agent = _agent(network, "u0")
     leaving = network.balancers[0]
     drain = SetDrain(draining=True)
     network.send(Envelope(LOCAL_PLATFORM, leaving, drain))
@@ -313,17 +361,7 @@
     """Guards against packets that circle between agents."""
     network = FlowNetwork(upstreams=2)
     network.drain(UpstreamId("u0"))
-    packet = PacketForward(
-        flow_id=flow_id_of(ADDRESS, CallerAddress(CALLERS[0])),
-        address=ADDRESS,
-        caller=CallerAddress(CALLERS[0]),
-        partner_id=PARTNER,
-        service_id=SERVICE,
-        generation=Generation(1),
-        balancer=network.balancers[0],
-        data=b"x",
-        hops=MAX_HOPS,
-    )
+    packet = _forward(network, CALLERS[0], hops=MAX_HOPS)
     receiver = agent_node(SERVICE, UpstreamId("u0"))
     network.send(Envelope(network.balancers[0], receiver, packet))
     assert network.delivered == []
@@ -334,7 +372,7 @@
     """Guards against an unbounded table, and against evicted flows."""
     network = FlowNetwork(upstreams=2)
     for name in ("u0", "u1"):
-        table = network.nodes[agent_node(SERVICE, UpstreamId(name))].flows.table
+        table = _agent(network, name).flows.table
         assert table.max_flows == AGENT_FLOWS
         table.max_flows = 4
     home = {caller: network.packet(caller) for caller in CALLERS}
@@ -349,16 +387,7 @@
     network = FlowNetwork(upstreams=1)
     network.packet(CALLERS[0])
     receiver = agent_node(SERVICE, UpstreamId("u0"))
-    stray = PacketForward(
-        flow_id=flow_id_of(ADDRESS, CallerAddress(CALLERS[1])),
-        address=ADDRESS,
-        caller=CallerAddress(CALLERS[1]),
-        partner_id=PARTNER,
-        service_id=ServiceId("federation/board"),
-        generation=Generation(1),
-        balancer=network.balancers[0],
-        data=b"x",
-    )
+    stray = _forward(network, CALLERS[1], service_id=ServiceId("federation/board"))
     network.send(Envelope(network.balancers[0], receiver, stray))
     other = agent_node(ServiceId("federation/board"), UpstreamId("u0"))
     back = PacketReturn(
