Build agents for tests in one place

Cause: two test networks built their agents in the same lines. Change: make_agent in bench/flow_setup.py, beside make_balancer.

--- a/src/bramleydyke/bench/flow_setup.py
+++ b/src/bramleydyke/bench/flow_setup.py
@@ -1,9 +1,10 @@
-"""A balancer with one service, for measurements and tests of its core."""
+"""A balancer or agent of one service, for measurements and tests."""
 
 from __future__ import annotations
 
 import random
 
+from bramleydyke.core.agent import Agent
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.core.config import ConfigDelta, ServiceConfig, UpstreamSpec
 from bramleydyke.core.flow_hints import flow_id_of
@@ -102,3 +103,27 @@
     sent = balancer.receive(Envelope(LOCAL_CALLER, balancer.node_id, packet), now=now)
     assert sent[0].receiver == node_id
     return node_id
+
+
+def make_agent(
+    service_id: ServiceId,
+    upstream_id: UpstreamId,
+    *,
+    incarnation: int,
+    balancers: list[NodeId],
+    now: float,
+) -> Agent:
+    """Returns an agent of a service whose id starts with its partner."""
+    return Agent(
+        partner_id=PartnerId(service_id.split("/")[0]),
+        service_id=service_id,
+        upstream_id=upstream_id,
+        incarnation=Incarnation(incarnation),
+        zone=ZONE,
+        endpoint="127.0.0.1:1",
+        slots=1,
+        credential="",
+        balancers=balancers,
+        random_source=random.Random(7),
+        now=now,
+    )
--- a/tests/property/flow_network.py
+++ b/tests/property/flow_network.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter, deque
 
+from bramleydyke.bench.flow_setup import make_agent
 from bramleydyke.core.agent import Agent
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.core.config import (
@@ -93,17 +94,11 @@
 
     def start_agent(self, name: UpstreamId, *, incarnation: int = 1) -> None:
         """Starts an agent, or starts it anew, and announces it to all."""
-        agent = Agent(
-            partner_id=PARTNER,
-            service_id=SERVICE,
-            upstream_id=name,
-            incarnation=Incarnation(incarnation),
-            zone=ZONE,
-            endpoint="127.0.0.1:1",
-            slots=1,
-            credential="",
+        agent = make_agent(
+            SERVICE,
+            name,
+            incarnation=incarnation,
             balancers=self.balancers,
-            random_source=random.Random(7),
             now=self.now,
         )
         self.nodes[agent.node_id] = agent
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bramleydyke.bench.flow_setup import make_agent
 from bramleydyke.constants import (
     STREAM_KEEPALIVE_S,
     STREAM_SILENT_S,
@@ -99,18 +100,8 @@
             self.receive(Envelope(LOCAL_PLATFORM, node_id, config))
 
     def start_agent(self, name: UpstreamId, *, incarnation: int = 1) -> None:
-        agent = Agent(
-            partner_id=PARTNER,
-            service_id=SERVICE,
-            upstream_id=name,
-            incarnation=Incarnation(incarnation),
-            zone=ZONE,
-            endpoint="127.0.0.1:1",
-            slots=1,
-            credential="",
-            balancers=[EDGE],
-            random_source=random.Random(7),
-            now=self.now,
+        agent = make_agent(
+            SERVICE, name, incarnation=incarnation, balancers=[EDGE], now=self.now
         )
         self.nodes[agent.node_id] = agent
         self.receive(Envelope(agent.node_id, EDGE, agent.announcement))
