--- a/tests/history/checker.py
+++ b/tests/history/checker.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """An upstream ended a request."""
+    """An upstream ended a request of a service."""
 
     at: float
     service: str
@@ -100,6 +100,7 @@
         self.invokes: dict[int, Invoke] = {}
         self.outcomes: dict[int, list[Outcome]] = defaultdict(list)
         self.starts: dict[tuple[str, str], list[Start]] = defaultdict(list)
+        self.ends: dict[tuple[str, str], list[End]] = defaultdict(list)
         self.attempts: dict[tuple[str, str], list[Invoke]] = defaultdict(list)
         for event in events:
             if isinstance(event, Invoke):
@@ -109,6 +110,8 @@
                 self.outcomes[event.attempt].append(event)
             elif isinstance(event, Start):
                 self.starts[event.wanted, event.key].append(event)
+            else:
+                self.ends[event.service, event.key].append(event)
 
     def violations(self) -> list[str]:
         """Returns every broken promise, none if all hold."""
@@ -122,10 +125,12 @@
         return [found for check in checks for found in check()]
 
     def wrong_answers(self) -> Iterator[str]:
-        """Yields answers that are not the caller's own or not whole."""
+        """Yields answers that are another's, not whole, or made up."""
         for attempt, outcome in self._outcomes(Got.ANSWER):
             wanted = answer_payload(request_payload(attempt.service, attempt.key))
-            if outcome.payload != wanted:
+            ends = self.ends[attempt.service, attempt.key]
+            ended = any(end.at <= outcome.at for end in ends)
+            if outcome.payload != wanted or not ended:
                 yield f"wrong answer: {attempt} got {outcome}"
 
     def ran_twice(self) -> Iterator[str]:
--- /dev/null
+++ b/tests/history/fakes.py
@@ -0,0 +1,151 @@
+"""Construction of the processes under test, links and upstream behaviour."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+from checker import answer_payload
+
+from bramleydyke.core.agent import Agent
+from bramleydyke.core.balancer import Balancer
+from bramleydyke.core.config import ServiceConfig, UpstreamSpec
+from bramleydyke.messages import (
+    Announcement,
+    RequestDone,
+    RequestFailed,
+    RequestShed,
+    RunRequest,
+)
+from bramleydyke.types import (
+    AvailabilityZone,
+    Incarnation,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+    balancer_node,
+)
+
+BOARD = ServiceId("federation/bourse-beurre")
+PROOFS = ServiceId("studio/proof-desk")
+SERVICES = {BOARD: PartnerId("federation"), PROOFS: PartnerId("studio")}
+ADDRESSES = {
+    BOARD: ServiceAddress("10.0.0.1:80"),
+    PROOFS: ServiceAddress("10.0.0.2:80"),
+}
+ZONE = AvailabilityZone("meknes")
+
+
+def make_balancer(name: str, rng: random.Random, incarnation: int = 1) -> Balancer:
+    """Returns a balancer; the only place where one is constructed."""
+    return Balancer(
+        node_id=balancer_node(name),
+        incarnation=Incarnation(incarnation),
+        random_source=rng,
+    )
+
+
+def make_agent(
+    service: ServiceId,
+    upstream: str,
+    rng: random.Random,
+    *,
+    now: float,
+    incarnation: int = 1,
+    slots: int = 1,
+) -> Agent:
+    """Returns an agent; the only place where one is constructed."""
+    return Agent(
+        partner_id=SERVICES[service],
+        service_id=service,
+        upstream_id=UpstreamId(upstream),
+        incarnation=Incarnation(incarnation),
+        zone=ZONE,
+        endpoint="127.0.0.1:1",
+        slots=slots,
+        credential="",
+        balancers=[balancer_node("b0")],
+        random_source=rng,
+        now=now,
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Link:
+    """What happens to messages between processes, as probabilities."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    late: float = 0.0
+    late_s: float = 0.0
+    """Longest delay of a late message."""
+
+    base_s: float = 0.005
+    """Longest delay of the others; they cross within it."""
+
+    def delays(self, rng: random.Random) -> list[float]:
+        """Returns the delay of each copy of a message."""
+        if rng.random() < self.loss:
+            return []
+        copies = 2 if rng.random() < self.double else 1
+        return [self._delay(rng) for _ in range(copies)]
+
+    def _delay(self, rng: random.Random) -> float:
+        late = rng.random() < self.late
+        return rng.uniform(0.0005, self.late_s if late else self.base_s)
+
+
+@dataclass(slots=True, kw_only=True)
+class Behaviour:
+    """What an upstream does with requests, as probabilities."""
+
+    shed: float = 0.0
+    fail: float = 0.0
+    mute: float = 0.0
+    """It runs the request and its answer never comes."""
+
+    time_s: float = 0.05
+    """Mean time of a request."""
+
+    def reply(
+        self, message: RunRequest, rng: random.Random
+    ) -> tuple[float, RequestDone | RequestFailed | RequestShed | None]:
+        """Returns the reply to a request, if it ever comes, and its delay."""
+        request_id = message.request_id
+        draw = rng.random()
+        if draw < self.shed:
+            return 0.001, RequestShed(request_id=request_id)
+        spread = rng.expovariate(1 / (0.8 * self.time_s))
+        taken = min(0.2 * self.time_s + spread, 20.0)
+        if draw < self.shed + self.fail:
+            return taken / 2, RequestFailed(request_id=request_id)
+        if draw < self.shed + self.fail + self.mute:
+            return taken, None
+        answer = answer_payload(message.payload)
+        return taken, RequestDone(request_id=request_id, payload=answer)
+
+
+def overrule_suspicion(agent: Agent) -> Announcement:
+    """Returns an announcement that overrules a suspicion."""
+    agent.announcement = msgspec.structs.replace(
+        agent.announcement, revision=agent.announcement.revision + 1
+    )
+    return agent.announcement
+
+
+def make_service(
+    service: ServiceId, upstreams: list[str], *, slots: int
+) -> ServiceConfig:
+    """Returns a service as its sheet declares it."""
+    return ServiceConfig(
+        service_id=service,
+        partner_id=SERVICES[service],
+        protocol=Protocol.HTTP,
+        addresses=(ADDRESSES[service],),
+        upstreams=tuple(
+            UpstreamSpec(UpstreamId(name), ZONE, slots=slots) for name in upstreams
+        ),
+    )
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -1,12 +1,11 @@
-"""Fakes around the facades: a heap of delayed messages and a paused clock."""
+"""A world of balancers, agents, upstreams and callers on a paused clock."""
 
 from __future__ import annotations
 
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 
 import msgspec
 from checker import (
@@ -17,19 +16,22 @@
     Invoke,
     Outcome,
     Start,
-    answer_payload,
     request_payload,
 )
+from fakes import (
+    ADDRESSES,
+    SERVICES,
+    Behaviour,
+    Link,
+    make_agent,
+    make_balancer,
+    make_service,
+    overrule_suspicion,
+)
 
 from bramleydyke.core.agent import Agent
 from bramleydyke.core.balancer import Balancer
-from bramleydyke.core.config import (
-    PartnerConfig,
-    ServiceConfig,
-    UpstreamSpec,
-    full_delta,
-    next_config,
-)
+from bramleydyke.core.config import PartnerConfig, full_delta, next_config
 from bramleydyke.errors import ANSWERS
 from bramleydyke.messages import (
     Announcement,
@@ -39,7 +41,6 @@
     RequestAbandoned,
     RequestArrived,
     RequestDone,
-    RequestFailed,
     RequestShed,
     RunRequest,
     SetDrain,
@@ -48,29 +49,16 @@
     LOCAL_CALLER,
     LOCAL_PLATFORM,
     LOCAL_UPSTREAM,
-    AvailabilityZone,
-    Incarnation,
     MemberState,
     NodeId,
     Outcome as Told,
-    PartnerId,
-    Protocol,
     RequestId,
-    ServiceAddress,
     ServiceId,
     UpstreamId,
     agent_node,
     balancer_node,
 )
 
-BOARD = ServiceId("federation/bourse-beurre")
-PROOFS = ServiceId("studio/proof-desk")
-SERVICES = {BOARD: PartnerId("federation"), PROOFS: PartnerId("studio")}
-ADDRESSES = {
-    BOARD: ServiceAddress("10.0.0.1:80"),
-    PROOFS: ServiceAddress("10.0.0.2:80"),
-}
-ZONE = AvailabilityZone("meknes")
 START_S = 1000.0
 UP_SINCE_S = START_S - 500.0
 """Start of the first agents: longer ago than any record is kept."""
@@ -80,85 +68,13 @@
 
 SUSPECT_S = 3.0
 MAX_EVENTS = 200_000
-"""More events than this in one run are a loop without progress."""
+"""More events than this are a loop without progress."""
 
 Node = Balancer | Agent
 Tap = Callable[[Envelope], list[float] | None]
 """Sees each envelope; returns the delays of its copies, None to leave it."""
 
 
-def make_balancer(name: str, rng: random.Random, incarnation: int = 1) -> Balancer:
-    """Returns a balancer; the only place where one is constructed."""
-    return Balancer(
-        node_id=balancer_node(name),
-        incarnation=Incarnation(incarnation),
-        random_source=rng,
-    )
-
-
-def make_agent(
-    service: ServiceId,
-    upstream: str,
-    rng: random.Random,
-    *,
-    now: float,
-    incarnation: int = 1,
-    slots: int = 1,
-) -> Agent:
-    """Returns an agent; the only place where one is constructed."""
-    return Agent(
-        partner_id=SERVICES[service],
-        service_id=service,
-        upstream_id=UpstreamId(upstream),
-        incarnation=Incarnation(incarnation),
-        zone=ZONE,
-        endpoint="127.0.0.1:1",
-        slots=slots,
-        credential="",
-        balancers=[balancer_node("b0")],
-        random_source=rng,
-        now=now,
-    )
-
-
-@dataclass(slots=True, kw_only=True)
-class Link:
-    """What happens to messages between processes, as probabilities."""
-
-    loss: float = 0.0
-    double: float = 0.0
-    late: float = 0.0
-    late_s: float = 0.0
-    """Longest delay of a late message."""
-
-    base_s: float = 0.005
-    """Longest delay of the others; they cross within it."""
-
-    def delays(self, rng: random.Random) -> list[float]:
-        """Returns the delay of each copy of a message."""
-        if rng.random() < self.loss:
-            return []
-        copies = 2 if rng.random() < self.double else 1
-        return [self._delay(rng) for _ in range(copies)]
-
-    def _delay(self, rng: random.Random) -> float:
-        late = rng.random() < self.late
-        return rng.uniform(0.0005, self.late_s if late else self.base_s)
-
-
-@dataclass(slots=True, kw_only=True)
-class Behaviour:
-    """What an upstream does with requests, as probabilities."""
-
-    shed: float = 0.0
-    fail: float = 0.0
-    mute: float = 0.0
-    """It runs the request and its answer never comes."""
-
-    time_s: float = 0.05
-    """Mean time of a request."""
-
-
 class World:
     """Balancers, agents, upstreams and callers on one paused clock.
 
@@ -231,16 +147,17 @@
         raise AssertionError("a process wakes up again and again without progress")
 
     def post(self, envelope: Envelope) -> None:
-        """Takes an envelope that a process sent."""
+        """Takes an envelope that a process or a caller sent."""
         payload = envelope.payload
-        if envelope.receiver == LOCAL_CALLER:
+        delays = self._delays(envelope)
+        if envelope.receiver == LOCAL_CALLER and envelope.sender in self.nodes:
             self._told(payload)
         elif envelope.receiver == LOCAL_UPSTREAM:
             self._at_upstream(envelope)
         elif isinstance(payload, Announcement):
             self.announce(payload)
         elif envelope.receiver.startswith(("agent/", "balancer/")):
-            for delay in self._delays(envelope):
+            for delay in delays:
                 self.after(delay, lambda: self.deliver(envelope))
 
     def _delays(self, envelope: Envelope) -> list[float]:
@@ -248,7 +165,8 @@
             delays = tap(envelope)
             if delays is not None:
                 return delays
-        return self.link.delays(self.random)
+        local = envelope.sender.startswith("local/")
+        return [0.0] if local else self.link.delays(self.random)
 
     def deliver(self, envelope: Envelope) -> None:
         """Hands an envelope to its receiver, which may be paused or gone."""
@@ -304,6 +222,7 @@
 
     def _start(self, node: Node) -> None:
         self.nodes[node.node_id] = node
+        self.held.pop(node.node_id, None)
         self._wakes.pop(node.node_id, None)
         known = [full_delta(config) for config in self.configs.values()]
         for payload in [*known, *self.announced.values()]:
@@ -323,9 +242,8 @@
     def _suspect(self, node_id: NodeId) -> None:
         known = self.announced.get(node_id)
         silent = node_id not in self.nodes or node_id in self.held
-        if known is not None and silent and known.state is not MemberState.SUSPECT:
-            suspect = msgspec.structs.replace(known, state=MemberState.SUSPECT)
-            self.announce(suspect)
+        if known is not None and silent:
+            self.announce(msgspec.structs.replace(known, state=MemberState.SUSPECT))
 
     def pause(self, node_id: NodeId) -> None:
         """Stops a process for a time; its messages queue up."""
@@ -335,10 +253,9 @@
 
     def resume(self, node_id: NodeId) -> None:
         """Lets a paused process go on, with its timers or messages first."""
-        envelopes = self.held.pop(node_id, None)
-        node = self.nodes.get(node_id)
-        if envelopes is None or node is None:
+        if node_id not in self.held:
             return
+        envelopes, node = self.held.pop(node_id), self.nodes[node_id]
         self.resumed_at[node_id.removeprefix("balancer/")] = self.now
         self._wakes.pop(node_id, None)
         if self.random.random() < 0.5:
@@ -347,7 +264,7 @@
             self.deliver(envelope)
         self._send_all(node, node.wake(now=self.now))
         if isinstance(node, Agent) and node_id in self.announced:
-            self.announce(replace_revision(node))
+            self.announce(overrule_suspicion(node))
 
     def drain(self, node_id: NodeId) -> None:
         """Tells a process to take no new work."""
@@ -365,16 +282,7 @@
     def configure(self, service: ServiceId, upstreams: list[str]) -> None:
         """Changes the upstreams of a service, as an operator does."""
         partner = SERVICES[service]
-        entry = ServiceConfig(
-            service_id=service,
-            partner_id=partner,
-            protocol=Protocol.HTTP,
-            addresses=(ADDRESSES[service],),
-            upstreams=tuple(
-                UpstreamSpec(UpstreamId(name), ZONE, slots=self.slots)
-                for name in upstreams
-            ),
-        )
+        entry = make_service(service, upstreams, slots=self.slots)
         change_id = str(next(self._count))
         config = next_config(self.configs[partner], [entry], change_id=change_id)
         self.configs[partner] = config
@@ -387,9 +295,9 @@
 
     def _spread(self, payload: msgspec.Struct) -> None:
         for node_id in self.nodes:
-            delay = self.random.uniform(0.0, self.spread_s) if self.spread_s else 0.0
             envelope = Envelope(LOCAL_PLATFORM, node_id, payload)
-            if delay:
+            if self.spread_s:
+                delay = self.random.uniform(0.0, self.spread_s)
                 self.after(delay, lambda item=envelope: self.deliver(item))
             else:
                 self.deliver(envelope)
@@ -432,19 +340,17 @@
             request_id=RequestId(key) if keyed else None,
             first_attempt=first,
         )
-        node_id = balancer_node(balancer)
-        if node_id not in self.nodes:
+        if balancer not in self.balancers():
             self._ended(number, Got.DISCONNECTED)
-        self.deliver(Envelope(LOCAL_CALLER, node_id, arrived))
+        self.post(Envelope(LOCAL_CALLER, balancer_node(balancer), arrived))
         return number
 
     def abandon(self, attempt: int) -> None:
         """Lets a caller go away before it has an outcome."""
-        invoke = self.open.get(attempt)
-        if invoke is not None:
-            node_id = balancer_node(invoke.balancer)
+        if attempt in self.open:
+            node_id = balancer_node(self.open[attempt].balancer)
             gone = RequestAbandoned(caller=attempt)
-            self.deliver(Envelope(LOCAL_CALLER, node_id, gone))
+            self.post(Envelope(LOCAL_CALLER, node_id, gone))
 
     def _told(self, payload: object) -> None:
         if isinstance(payload, AnswerCaller):
@@ -460,15 +366,15 @@
         self.open.pop(attempt, None)
         self.history.append(Outcome(self.now, attempt, got, payload, reason))
 
-    def outcomes(self) -> Iterator[Outcome]:
-        """Yields the outcomes so far."""
-        return (event for event in self.history if isinstance(event, Outcome))
+    def outcomes(self) -> list[Outcome]:
+        """Returns the outcomes so far."""
+        return [event for event in self.history if isinstance(event, Outcome)]
 
     def violations(self) -> list[str]:
         """Returns the broken promises so far."""
-        return History(
-            self.history, ended_at=self.now, resumed_at=self.resumed_at
-        ).violations()
+        resumed = self.resumed_at
+        history = History(self.history, ended_at=self.now, resumed_at=resumed)
+        return history.violations()
 
     # Upstreams.
 
@@ -476,42 +382,19 @@
         message, agent = envelope.payload, envelope.sender
         if not isinstance(message, RunRequest):
             return
-        behaviour = self.behaviour.get(agent, Behaviour())
-        node = self.nodes[agent]
-        draw = self.random.random()
-        if draw < behaviour.shed:
-            shed = RequestShed(request_id=message.request_id)
-            self.after(0.001, lambda: self._from_upstream(node, shed))
-            return
-        wanted, key = message.payload.decode().split("|")
-        service, _, upstream = agent.removeprefix("agent/").rpartition("/")
-        self.history.append(Start(self.now, service, wanted, key, upstream))
-        taken = min(self.random.expovariate(1 / behaviour.time_s), 20.0)
-        draw -= behaviour.shed
-        if draw < behaviour.fail:
-            failed = RequestFailed(request_id=message.request_id)
-            self.after(taken / 2, lambda: self._from_upstream(node, failed))
-            return
-        if draw < behaviour.fail + behaviour.mute:
-            return
-        done = RequestDone(
-            request_id=message.request_id, payload=answer_payload(message.payload)
-        )
-        self.after(taken, lambda: self._end(node, service, key, done))
-
-    def _end(self, node: Node, service: str, key: str, done: RequestDone) -> None:
-        self.history.append(End(self.now, service, key))
-        self._from_upstream(node, done)
+        node, behaviour = self.nodes[agent], self.behaviour.get(agent, Behaviour())
+        delay, reply = behaviour.reply(message, self.random)
+        if not isinstance(reply, RequestShed):
+            wanted, key = message.payload.decode().split("|")
+            service, _, upstream = agent.removeprefix("agent/").rpartition("/")
+            self.history.append(Start(self.now, service, wanted, key, upstream))
+        if reply is not None:
+            self.after(delay, lambda: self._from_upstream(node, reply))
 
     def _from_upstream(self, node: Node, message: msgspec.Struct) -> None:
         """Delivers to the incarnation that sent the request, if it lives."""
+        if isinstance(message, RequestDone):
+            wanted, key = message.payload.decode().strip("<>").split("|")
+            self.history.append(End(self.now, wanted, key))
         if self.nodes.get(node.node_id) is node:
             self.deliver(Envelope(LOCAL_UPSTREAM, node.node_id, message))
-
-
-def replace_revision(agent: Agent) -> Announcement:
-    """Returns an announcement that overrules a suspicion."""
-    agent.announcement = msgspec.structs.replace(
-        agent.announcement, revision=agent.announcement.revision + 1
-    )
-    return agent.announcement
--- a/tests/history/scenario.py
+++ b/tests/history/scenario.py
@@ -5,15 +5,8 @@
 import random
 from collections.abc import Callable
 
-from harness import (
-    BOARD,
-    IN_FORCE_S,
-    SERVICES,
-    START_S,
-    Behaviour,
-    Link,
-    World,
-)
+from fakes import BOARD, SERVICES, Behaviour, Link
+from harness import IN_FORCE_S, START_S, World
 
 from bramleydyke.types import ServiceId, balancer_node
 
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -4,7 +4,8 @@
 
 import msgspec
 from checker import Got, Start
-from harness import BOARD, Behaviour, World
+from fakes import BOARD, Behaviour
+from harness import World
 
 from bramleydyke.core.records import Asker, RequestRecords
 from bramleydyke.errors import ErrorKind
@@ -89,6 +90,7 @@
 
     world.taps.append(delay_first_offer)
     world.call(BOARD, "k", balancer="b0", first=True)
+    world.run(world.now + 0.1)
     home = world.announced[offers[0].receiver]
     gone = msgspec.structs.replace(home, state=MemberState.SUSPECT)
     world.deliver(Envelope(LOCAL_PLATFORM, balancer_node("b1"), gone))
