Ignore an acceptance by an agent that was left

Cause: Placer.accepted did not check the sender.

Change: only the agent that was asked last can accept.

Conclusion: no promise was broken, but requests waited in vain.

--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -117,7 +117,7 @@
             RequestDone: lambda _, msg, now: server.done(msg, now=now),
             RequestShed: lambda _, msg, now: server.shed(msg, now=now),
             RequestFailed: lambda _, msg, now: server.failed(msg, now=now),
-            Accepted: lambda _, msg, now: self.placer.accepted(msg, now=now),
+            Accepted: lambda who, msg, now: self.placer.accepted(who, msg, now=now),
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -75,7 +75,7 @@
         self.handlers: dict[type, Handler] = {
             RequestArrived: lambda _, msg, now: self.edge.arrived(msg, now=now),
             RequestAbandoned: lambda _, msg, now: self.edge.abandoned(msg, now=now),
-            Accepted: lambda _, msg, now: self.placer.accepted(msg, now=now),
+            Accepted: lambda who, msg, now: self.placer.accepted(who, msg, now=now),
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -157,10 +157,16 @@
         placement.cancelling = True
         return self._send_current(placement, now=now)
 
-    def accepted(self, message: Accepted, *, now: float) -> list[Envelope]:
-        """Notes that an agent has the request."""
+    def accepted(
+        self, sender: NodeId, message: Accepted, *, now: float
+    ) -> list[Envelope]:
+        """Notes that the agent which was asked last has the request."""
         placement = self._current(message.placement, message.request_id)
-        if placement is None or message.incarnation != placement.incarnation:
+        if (
+            placement is None
+            or message.incarnation != placement.incarnation
+            or sender != self._node(placement)
+        ):
             return []
         self._note_load(placement, message.backlog, now=now)
         placement.accepted = True
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -118,3 +118,24 @@
     world.call(BOARD, "k", balancer="b0", idempotent=True, keyed=False)
     world.run(world.now + 10.0)
     assert [item.got for item in world.outcomes()] == [Got.UNKNOWN]
+
+
+def test_late_acceptance_of_an_agent_that_was_left_is_ignored() -> None:
+    """Guards against waiting for a silent agent because another accepted."""
+    world = World(1, upstreams=2)
+    world.call(BOARD, "k", balancer="b0", idempotent=True, keyed=False)
+    world.run(world.now)
+    placer = world.nodes[balancer_node("b0")].placer
+    (placement,) = placer.pending.values()
+    accepted = Accepted(
+        request_id=placement.request_id,
+        placement=placement.number,
+        ask=placement.ask,
+        backlog=0.0,
+        incarnation=placement.incarnation,
+    )
+    for upstream in world.upstreams(BOARD):
+        if upstream != placement.upstream_id:
+            left = agent_node(BOARD, UpstreamId(upstream))
+            world.deliver(Envelope(left, balancer_node("b0"), accepted))
+    assert not placement.accepted
