Distrust a first attempt that may have waited at a paused balancer

Cause: a balancer counted FIRST_ATTEMPT_VALID_S from the time at which it read the request.

Change: StallWatch wakes the balancer every 0.25 s and takes a gap of more than STALL_S (0.5 s) for a pause; for STALL_S after it, requests count as repetitions. A first attempt is trusted for 0.5 s instead of 1 s, because a shorter wait goes unnoticed. The fakes hand over the ports of a resumed process in any order.

Conclusion: a message that waits while the process is busy, not paused, is still not noticed.

--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -26,6 +26,13 @@
 FIRST_ATTEMPT_VALID_S = 1.0
 """Callers repeat a request no sooner than this after they sent it."""
 
+STALL_S = 0.5
+"""Gap between two events of a process after which it was paused.
+
+A caller's message can have waited for that long unnoticed, so the balancer
+trusts a first attempt for ``FIRST_ATTEMPT_VALID_S`` less this.
+"""
+
 CALLER_RETRY_HORIZON_S = 60.0
 """Callers repeat a request id no later than this after its deadline."""
 
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -85,6 +85,7 @@
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
+        self.edge.stalls.observe(now=now)
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -92,11 +93,13 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
+        self.edge.stalls.observe(now=now)
         return self.placer.wake(now=now)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do, in seconds."""
-        return self.placer.next_wakeup()
+        times = (self.placer.next_wakeup(), self.edge.stalls.wake_at)
+        return min((at for at in times if at is not None), default=None)
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
--- a/src/bramleydyke/core/request_edge.py
+++ b/src/bramleydyke/core/request_edge.py
@@ -6,10 +6,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from bramleydyke.constants import FIRST_ATTEMPT_VALID_S, MAX_REQUEST_TIMEOUT_S
+from bramleydyke.constants import (
+    FIRST_ATTEMPT_VALID_S,
+    MAX_REQUEST_TIMEOUT_S,
+    STALL_S,
+)
 from bramleydyke.core.config import ConfigStore, ServiceConfig
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.stalls import StallWatch
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.messages import (
     Answer,
@@ -45,6 +50,7 @@
         limits: Requests in flight of each partner.
         waiting: Caller of each placement.
         numbers: Placement of each caller.
+        stalls: Tells whether callers' messages may have waited here.
     """
 
     node_id: NodeId
@@ -54,6 +60,7 @@
     limits: PartnerLimits
     waiting: dict[int, _Waiting] = field(default_factory=dict)
     numbers: dict[int, int] = field(default_factory=dict)
+    stalls: StallWatch = field(default_factory=StallWatch)
     _next_number: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
     def arrived(self, message: RequestArrived, *, now: float) -> list[Envelope]:
@@ -61,9 +68,9 @@
         service_id = self.config.by_address.get(message.address)
         service = None if service_id is None else self.config.service(service_id)
         if service is None:
-            return self._refuse_unplaced(message, ErrorKind.NO_SERVICE)
+            return self._refuse_unplaced(message, ErrorKind.NO_SERVICE, now=now)
         if not self.limits.start_request(service.partner_id):
-            return self._refuse_unplaced(message, ErrorKind.PARTNER_LIMIT)
+            return self._refuse_unplaced(message, ErrorKind.PARTNER_LIMIT, now=now)
         placement = self._placement(message, service, now=now)
         self.waiting[placement.number] = _Waiting(message.caller, service.partner_id)
         self.numbers[message.caller] = placement.number
@@ -93,7 +100,8 @@
         keyed = _keyed(message)
         made_id = f"{self.node_id}/{self.incarnation}/{number}"
         request_id = f"key/{message.request_id}" if keyed else made_id
-        valid = FIRST_ATTEMPT_VALID_S if message.first_attempt else 0.0
+        repeats = self._may_repeat(message, now=now)
+        valid = 0.0 if repeats else FIRST_ATTEMPT_VALID_S - STALL_S
         return Placement(
             number=number,
             request_id=RequestId(request_id),
@@ -105,14 +113,24 @@
             first_attempt_until=now + valid,
             deadline=now + min(message.timeout, MAX_REQUEST_TIMEOUT_S),
             payload=message.payload,
-            earlier_may_have_run=_may_repeat(message),
+            earlier_may_have_run=repeats,
         )
 
+    def _may_repeat(self, message: RequestArrived, *, now: float) -> bool:
+        """Tells whether an earlier attempt of the request may have run.
+
+        The caller of a first attempt that waited while this process was
+        paused may have repeated it at another balancer.
+        """
+        first = message.first_attempt and not self.stalls.doubtful(now=now)
+        return _keyed(message) and not first
+
     def _refuse_unplaced(
-        self, message: RequestArrived, kind: ErrorKind
+        self, message: RequestArrived, kind: ErrorKind, *, now: float
     ) -> list[Envelope]:
         """Refuses a request of which an earlier attempt may have run."""
-        told = ErrorKind.RECORD_UNKNOWN if _may_repeat(message) else kind
+        repeats = self._may_repeat(message, now=now)
+        told = ErrorKind.RECORD_UNKNOWN if repeats else kind
         count = Count(name=counter_name(kind))
         counted = Envelope(self.node_id, LOCAL_METRICS, count)
         return [*self._refuse(message.caller, told), counted]
@@ -129,8 +147,3 @@
 def _keyed(message: RequestArrived) -> bool:
     """Tells whether a repetition of the request must be recognised."""
     return message.request_id is not None and not message.idempotent
-
-
-def _may_repeat(message: RequestArrived) -> bool:
-    """Tells whether an earlier attempt of the request may have run."""
-    return _keyed(message) and not message.first_attempt
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -252,7 +252,7 @@
             self.after(SUSPECT_S, lambda: self._suspect(node_id))
 
     def resume(self, node_id: NodeId) -> None:
-        """Lets a paused process go on, with its timers or messages first."""
+        """Lets a paused process go on, its ports and timers in any order."""
         if node_id not in self.held:
             return
         envelopes, node = self.held.pop(node_id), self.nodes[node_id]
@@ -260,7 +260,8 @@
         self._wakes.pop(node_id, None)
         if self.random.random() < 0.5:
             self._send_all(node, node.wake(now=self.now))
-        for envelope in envelopes:
+        last = self.random.choice(["local/caller", "local/platform", ""])
+        for envelope in sorted(envelopes, key=lambda item: item.sender == last):
             self.deliver(envelope)
         self._send_all(node, node.wake(now=self.now))
         if isinstance(node, Agent) and node_id in self.announced:
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from checker import Got, Start
 from fakes import BOARD, Behaviour
 from harness import World
@@ -139,3 +140,22 @@
             left = agent_node(BOARD, UpstreamId(upstream))
             world.deliver(Envelope(left, balancer_node("b0"), accepted))
     assert not placement.accepted
+
+
+@pytest.mark.parametrize("pause_s", [4.0, 15.0])
+@pytest.mark.parametrize("seed", range(6))
+def test_first_attempt_that_waited_at_a_balancer(seed: int, pause_s: float) -> None:
+    """Guards against trusting "first attempt" after the caller repeated it."""
+    world = World(seed, upstreams=3)
+    world.pause(balancer_node("b0"))
+    world.call(BOARD, "k", balancer="b0", first=True)
+    world.run(world.now + 1.0)
+    world.call(BOARD, "k", balancer="b1")
+    world.run(world.now + 1.0)
+    (start,) = (event for event in world.history if isinstance(event, Start))
+    world.kill(agent_node(BOARD, UpstreamId(start.upstream)))
+    world.start_agent(BOARD, start.upstream)
+    world.run(world.now + pause_s)
+    world.resume(balancer_node("b0"))
+    world.run(world.now + 10.0)
+    assert world.violations() == []
