Number placements anew in each incarnation

Cause: a restarted balancer or agent numbered its placements from 1 again. A late refusal of a keyed request to the earlier incarnation matched the new placement of the same request (shown by test_restarted_balancer_numbers_its_placements_anew, which failed before).

Change: placement_numbers starts at a hash of the incarnation. The histories restart balancers under their name and end soon after the last repetition.

--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from xxhash import xxh32_intdigest
+
 from bramleydyke.constants import (
     ACCEPTED_POLL_S,
     CHAIN_LENGTH,
@@ -52,6 +55,15 @@
 """Times that a keyed request follows a pointer to another home in a round."""
 
 
+def placement_numbers(incarnation: Incarnation) -> Iterator[int]:
+    """Returns the numbers of a process's placements.
+
+    Each incarnation starts elsewhere, so that a late reply to an earlier one
+    does not match a placement of the same request.
+    """
+    return itertools.count(xxh32_intdigest(str(incarnation).encode()) << 20)
+
+
 @dataclass(slots=True, kw_only=True)
 class Placement:
     """One request on its way to an agent.
--- a/src/bramleydyke/core/request_edge.py
+++ b/src/bramleydyke/core/request_edge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -13,7 +12,7 @@
 )
 from bramleydyke.core.config import ConfigStore, ServiceConfig
 from bramleydyke.core.limits import PartnerLimits
-from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.placement import Placement, Placer, placement_numbers
 from bramleydyke.core.stalls import StallWatch
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.messages import (
@@ -61,7 +60,10 @@
     waiting: dict[int, _Waiting] = field(default_factory=dict)
     numbers: dict[int, int] = field(default_factory=dict)
     stalls: StallWatch = field(default_factory=StallWatch)
-    _next_number: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _numbers: Iterator[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._numbers = placement_numbers(self.incarnation)
 
     def arrived(self, message: RequestArrived, *, now: float) -> list[Envelope]:
         """Starts to place a caller's request, or refuses it."""
@@ -96,7 +98,7 @@
     def _placement(
         self, message: RequestArrived, service: ServiceConfig, *, now: float
     ) -> Placement:
-        number = next(self._next_number)
+        number = next(self._numbers)
         keyed = _keyed(message)
         made_id = f"{self.node_id}/{self.incarnation}/{number}"
         request_id = f"key/{message.request_id}" if keyed else made_id
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -18,7 +17,7 @@
     RECORD_RETENTION_S,
 )
 from bramleydyke.core.admission import Admission
-from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.placement import Placement, Placer, placement_numbers
 from bramleydyke.core.records import Asker, Record, RecordState, RequestRecords
 from bramleydyke.core.rendezvous import score
 from bramleydyke.core.timers import Timers
@@ -94,7 +93,10 @@
     records: RequestRecords = field(default_factory=RequestRecords)
     placements: dict[int, RequestId] = field(default_factory=dict)
     timers: Timers[RequestId] = field(default_factory=Timers)
-    _numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _numbers: Iterator[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._numbers = placement_numbers(self.incarnation)
 
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` has something to do."""
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -159,3 +159,16 @@
     world.resume(balancer_node("b0"))
     world.run(world.now + 10.0)
     assert world.violations() == []
+
+
+def test_restarted_balancer_numbers_its_placements_anew() -> None:
+    """Guards against a late refusal that matches a later placement."""
+    world = World(1, upstreams=1)
+    numbers = []
+    for _ in range(2):
+        world.call(BOARD, "k", balancer="b0")
+        world.run(world.now)
+        numbers += world.nodes[balancer_node("b0")].placer.pending
+        world.kill(balancer_node("b0"))
+        world.join_balancer("b0")
+    assert len(set(numbers)) == 2
