--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -178,7 +178,7 @@
             FlowProbe: lambda who, msg, _: flows.probed(who, msg),
             RequestArrived: lambda _, msg, now: self.edge.arrived(msg, now=now),
             RequestAbandoned: lambda _, msg, now: self.edge.abandoned(msg, now=now),
-            Accepted: lambda _, msg, now: self.placer.accepted(msg, now=now),
+            Accepted: lambda who, msg, now: self.placer.accepted(who, msg, now=now),
             Answer: self._answered,
             Refusal: self._refused,
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
@@ -193,6 +193,7 @@
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
         self.now = now
+        self.edge.stalls.observe(now=now)
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -201,6 +202,7 @@
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
         self.now = now
+        self.edge.stalls.observe(now=now)
         out = self.placer.wake(now=now) + self.flows.wake(now=now)
         out += self.streams.wake(now=now)
         return out + self.control.wake(now=now)
@@ -209,8 +211,8 @@
         """Returns when ``wake`` has something to do, in seconds."""
         parts = (self.placer, self.flows, self.streams)
         times = [part.next_wakeup() for part in parts]
-        control_at = self.control.next_wakeup(self.now)
-        return min([control_at, *(at for at in times if at is not None)])
+        times += [self.edge.stalls.wake_at, self.control.next_wakeup(self.now)]
+        return min(at for at in times if at is not None)
 
     def stop(self, *, now: float) -> list[Envelope]:
         """Announces a clean stop; the process ends after it is sent."""
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from xxhash import xxh32_intdigest
+
 from bramleydyke.constants import (
     ACCEPTED_POLL_S,
     CHAIN_LENGTH,
@@ -53,6 +56,15 @@
 """Times that a keyed request follows a pointer to another home in a round."""
 
 
+def placement_numbers(incarnation: Incarnation) -> Iterator[int]:
+    """Returns the numbers of a process's placements.
+
+    Each incarnation starts elsewhere, so that a late reply to an earlier one
+    does not match a placement of the same request.
+    """
+    return itertools.count(xxh32_intdigest(str(incarnation).encode()) << 20)
+
+
 @dataclass(slots=True, kw_only=True)
 class Placement:
     """One request on its way to an agent.
@@ -167,10 +179,16 @@
         placement.cancelling = True
         return self._send_current(placement, now=now)
 
-    def accepted(self, message: Accepted, *, now: float) -> list[Envelope]:
-        """Notes that an agent has the request."""
+    def accepted(
+        self, sender: NodeId, message: Accepted, *, now: float
+    ) -> list[Envelope]:
+        """Notes that the agent which was asked last has the request."""
         placement = self._current(message.placement, message.request_id)
-        if placement is None or message.incarnation != placement.incarnation:
+        if (
+            placement is None
+            or message.incarnation != placement.incarnation
+            or sender != self._node(placement)
+        ):
             return []
         self._note_load(placement, message.backlog, now=now)
         placement.accepted = True
--- a/tests/history/fakes.py
+++ b/tests/history/fakes.py
@@ -40,7 +40,7 @@
 ZONE = AvailabilityZone("meknes")
 
 
-def make_balancer(name: str, rng: random.Random, incarnation: int = 1) -> Balancer:
+def make_balancer(name: str, rng: random.Random, incarnation: int) -> Balancer:
     """Returns a balancer whose control plane never wakes.
 
     The world spreads configuration and members itself, with faults.
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -246,7 +246,10 @@
 
     def join_balancer(self, name: str) -> None:
         """Starts a balancer that knows what a peer would tell it."""
-        self._start(make_balancer(name, random.Random(self.random.random())))
+        node_id = balancer_node(name)
+        self.incarnations[node_id] = self.incarnations.get(node_id, 0) + 1
+        rng = random.Random(self.random.random())
+        self._start(make_balancer(name, rng, self.incarnations[node_id]))
 
     def _start(self, node: Node) -> None:
         self.nodes[node.node_id] = node
@@ -280,7 +283,7 @@
             self.after(SUSPECT_S, lambda: self._suspect(node_id))
 
     def resume(self, node_id: NodeId) -> None:
-        """Lets a paused process go on, with its timers or messages first."""
+        """Lets a paused process go on, its ports and timers in any order."""
         if node_id not in self.held:
             return
         envelopes, node = self.held.pop(node_id), self.nodes[node_id]
@@ -288,7 +291,8 @@
         self._wakes.pop(node_id, None)
         if self.random.random() < 0.5:
             self._send_all(node, node.wake(now=self.now))
-        for envelope in envelopes:
+        last = self.random.choice(["local/caller", "local/platform", ""])
+        for envelope in sorted(envelopes, key=lambda item: item.sender == last):
             self.deliver(envelope)
         self._send_all(node, node.wake(now=self.now))
         if isinstance(node, Agent) and node_id in self.announced:
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from checker import Got, Start
 from fakes import BOARD, Behaviour
 from harness import World
@@ -118,3 +119,56 @@
     world.call(BOARD, "k", balancer="b0", idempotent=True, keyed=False)
     world.run(world.now + 10.0)
     assert [item.got for item in world.outcomes()] == [Got.UNKNOWN]
+
+
+def test_late_acceptance_of_an_agent_that_was_left_is_ignored() -> None:
+    """Guards against waiting for a silent agent because another accepted."""
+    world = World(1, upstreams=2)
+    world.call(BOARD, "k", balancer="b0", idempotent=True, keyed=False)
+    world.run(world.now)
+    placer = world.nodes[balancer_node("b0")].placer
+    (placement,) = placer.pending.values()
+    accepted = Accepted(
+        request_id=placement.request_id,
+        placement=placement.number,
+        ask=placement.ask,
+        backlog=0.0,
+        incarnation=placement.incarnation,
+    )
+    for upstream in world.upstreams(BOARD):
+        if upstream != placement.upstream_id:
+            left = agent_node(BOARD, UpstreamId(upstream))
+            world.deliver(Envelope(left, balancer_node("b0"), accepted))
+    assert not placement.accepted
+
+
+@pytest.mark.parametrize("pause_s", [4.0, 15.0])
+@pytest.mark.parametrize("seed", range(6))
+def test_first_attempt_that_waited_at_a_balancer(seed: int, pause_s: float) -> None:
+    """Guards against trusting "first attempt" after the caller repeated it."""
+    world = World(seed, upstreams=3)
+    world.pause(balancer_node("b0"))
+    world.call(BOARD, "k", balancer="b0", first=True)
+    world.run(world.now + 1.0)
+    world.call(BOARD, "k", balancer="b1")
+    world.run(world.now + 1.0)
+    (start,) = (event for event in world.history if isinstance(event, Start))
+    world.kill(agent_node(BOARD, UpstreamId(start.upstream)))
+    world.start_agent(BOARD, start.upstream)
+    world.run(world.now + pause_s)
+    world.resume(balancer_node("b0"))
+    world.run(world.now + 10.0)
+    assert world.violations() == []
+
+
+def test_restarted_balancer_numbers_its_placements_anew() -> None:
+    """Guards against a late refusal that matches a later placement."""
+    world = World(1, upstreams=1)
+    numbers = []
+    for _ in range(2):
+        world.call(BOARD, "k", balancer="b0")
+        world.run(world.now)
+        numbers += world.nodes[balancer_node("b0")].placer.pending
+        world.kill(balancer_node("b0"))
+        world.join_balancer("b0")
+    assert len(set(numbers)) == 2
