Connect the core to sockets: codec, links, HTTP, platform, runner

Cause: the core could only be driven by tests in one process.

Change: frames are msgpack arrays with a version; bad, truncated and oversized frames, other versions, messages of local ports and NaN or infinite times are refused and counted by kind. Each node binds one ROUTER and connects a DEALER to each node that it sends to. Frames for an unreachable node wait at most 2 s, so that no late offer reaches the successor of a dead agent. The HTTP edge and upstream client pass whole requests and answers; a connection that cannot be made counts as shed, one that breaks after sending as failed.

Conclusion: a test with a scripted socket fails on the earlier order of calls; a test over real sockets in one process did not show the fault.

--- /dev/null
+++ b/src/bramleydyke/adapters/codec.py
@@ -0,0 +1,208 @@
+"""Frames between the system's own processes.
+
+A frame is a msgpack array: wire version, sender, the sender's endpoint,
+receiver, message. Further elements are skipped.
+"""
+
+from __future__ import annotations
+
+import functools
+import ipaddress
+import math
+import typing
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from bramleydyke.constants import MAX_FRAME_BYTES, WIRE_VERSION
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import Envelope, Message, Payload
+from bramleydyke.types import NodeId
+
+LOCAL_MESSAGES = frozenset(
+    {
+        "RequestArrived",
+        "RequestAbandoned",
+        "AnswerCaller",
+        "RefuseCaller",
+        "RunRequest",
+        "StopRequest",
+        "RequestDone",
+        "RequestShed",
+        "RequestFailed",
+        "PacketIn",
+        "PacketDeliver",
+        "PlatformRead",
+        "PlatformWrite",
+        "PlatformReply",
+        "SetDrain",
+        "Count",
+    }
+)
+"""Messages of local ports; from another process they are refused.
+
+Otherwise any peer could forge the end of a request or a platform reply.
+"""
+
+DATAGRAM_MESSAGES = frozenset(
+    {
+        "PacketForward",
+        "PacketReturn",
+        "FlowHint",
+        "FlowReset",
+        "FlowProbe",
+        "Announcement",
+        "Heartbeat",
+        "HeartbeatReply",
+        "MemberDigest",
+        "MemberDelta",
+        "SuspectQuery",
+        "SuspectReply",
+        "ConfigDigest",
+        "DeltaRequest",
+    }
+)
+"""Messages that go by UDP when they fit; all others use a link."""
+
+
+class _Frame(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+    sender: NodeId
+    endpoint: str
+    receiver: NodeId
+    payload: msgspec.Raw
+
+
+class _Header(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A decoded frame.
+
+    Attributes:
+        envelope: The message.
+        endpoint: Where the sender can be reached, as ``ip:port``.
+    """
+
+    envelope: Envelope
+    endpoint: str
+
+
+def _subclasses(base: type) -> list[type]:
+    return [
+        cls
+        for direct in base.__subclasses__()
+        for cls in [direct, *_subclasses(direct)]
+    ]
+
+
+@functools.cache
+def remote_types() -> tuple[type, ...]:
+    """Returns the types of all messages that may come from other nodes."""
+    others = [cls for cls in typing.get_args(Payload) if cls is not Message]
+    messages = [
+        cls for cls in _subclasses(Message) if cls.__name__ not in LOCAL_MESSAGES
+    ]
+    return tuple(messages + others)
+
+
+@functools.cache
+def _payload_decoder() -> msgspec.msgpack.Decoder[Any]:
+    return msgspec.msgpack.Decoder(typing.Union[remote_types()])  # noqa: UP007
+
+
+@functools.cache
+def _float_fields(cls: type) -> tuple[str, ...]:
+    hints = typing.get_type_hints(cls)
+    return tuple(
+        name
+        for name, hint in hints.items()
+        if hint is float or float in typing.get_args(hint)
+    )
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_FRAME_DECODER = msgspec.msgpack.Decoder(_Frame)
+_HEADER_DECODER = msgspec.msgpack.Decoder(_Header)
+
+
+def encode(envelope: Envelope, *, endpoint: str) -> Result[bytes, ErrorKind]:
+    """Returns the frame of a message.
+
+    Args:
+        envelope: The message with its sender and receiver.
+        endpoint: Where the sender can be reached, as ``ip:port``.
+    """
+    frame = _ENCODER.encode(
+        (WIRE_VERSION, envelope.sender, endpoint, envelope.receiver, envelope.payload)
+    )
+    if len(frame) > MAX_FRAME_BYTES:
+        return Failure(ErrorKind.FRAME_TOO_LARGE)
+    return Success(frame)
+
+
+def decode(
+    frame: bytes, *, max_bytes: int = MAX_FRAME_BYTES
+) -> Result[Received, ErrorKind]:
+    """Returns the message in a frame, or why the frame is refused."""
+    if len(frame) > max_bytes:
+        return Failure(ErrorKind.FRAME_TOO_LARGE)
+    try:
+        outer = _FRAME_DECODER.decode(frame)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Failure(_header_failure(frame))
+    if outer.version != WIRE_VERSION:
+        return Failure(ErrorKind.BAD_VERSION)
+    return _decode_payload(outer)
+
+
+def _header_failure(frame: bytes) -> ErrorKind:
+    """Tells a frame of another version from one that is not a frame."""
+    try:
+        header = _HEADER_DECODER.decode(frame)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return ErrorKind.BAD_FRAME
+    known = header.version == WIRE_VERSION
+    return ErrorKind.BAD_FRAME if known else ErrorKind.BAD_VERSION
+
+
+def _decode_payload(outer: _Frame) -> Result[Received, ErrorKind]:
+    if outer.sender.startswith("local/") or parse_endpoint(outer.endpoint) is None:
+        return Failure(ErrorKind.BAD_FRAME)
+    try:
+        payload = _payload_decoder().decode(outer.payload)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Failure(ErrorKind.BAD_FRAME)
+    if not _finite(payload):
+        return Failure(ErrorKind.BAD_FRAME)
+    envelope = Envelope(outer.sender, outer.receiver, payload)
+    return Success(Received(envelope, outer.endpoint))
+
+
+def _finite(payload: Payload) -> bool:
+    """Refuses NaN and infinity, which would break the order of timers."""
+    values = (getattr(payload, name) for name in _float_fields(type(payload)))
+    return all(value is None or math.isfinite(value) for value in values)
+
+
+def goes_by_datagram(payload: Payload) -> bool:
+    """Tells whether a message prefers UDP to a link."""
+    return type(payload).__name__ in DATAGRAM_MESSAGES
+
+
+@functools.lru_cache(maxsize=16_384)
+def parse_endpoint(endpoint: str) -> tuple[str, int] | None:
+    """Returns host and port of ``ip:port``, or None if it is neither.
+
+    Host names are refused: looking one up would block the process.
+    """
+    host, _, port = endpoint.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        return None
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return host, int(port)
--- /dev/null
+++ b/src/bramleydyke/adapters/http_upstream.py
@@ -0,0 +1,133 @@
+"""HTTP client towards the upstream: the upstream port of an agent."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+from returns.result import Failure as Refused, Success
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.client import FileBodyProducer
+from twisted.web.http_headers import Headers
+
+from bramleydyke.adapters.http_bodies import (
+    BodyTooLargeError,
+    new_agent,
+    not_sent,
+    read_body,
+)
+from bramleydyke.adapters.http_payload import (
+    MAX_BODY_BYTES,
+    HttpAnswer,
+    HttpRequest,
+    end_to_end,
+    pack,
+    unpack_request,
+)
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import (
+    Payload,
+    RequestDone,
+    RequestFailed,
+    RequestShed,
+    RunRequest,
+    StopRequest,
+)
+from bramleydyke.ports import Counter, Deliver
+from bramleydyke.types import LOCAL_UPSTREAM, RequestId
+
+SHED_STATUS = 503
+"""With ``Retry-After``, an upstream's refusal before it ran the request."""
+
+
+class HttpUpstream:
+    """Requests that run at one upstream.
+
+    Attributes:
+        running: Call of each request that has not ended.
+    """
+
+    def __init__(
+        self, *, reactor: Any, base_url: str, deliver: Deliver, count: Counter
+    ) -> None:
+        self.base_url = base_url.rstrip("/").encode()
+        self.deliver = deliver
+        self.count = count
+        self.agent = new_agent(reactor)
+        self.running: dict[RequestId, Deferred[Any]] = {}
+
+    def take(self, payload: Payload) -> None:
+        """Takes a message from the agent."""
+        if isinstance(payload, RunRequest):
+            self._run(payload)
+        elif isinstance(payload, StopRequest):
+            call = self.running.pop(payload.request_id, None)
+            if call is not None:
+                call.cancel()
+
+    def close(self) -> None:
+        """Breaks the connections of all requests."""
+        for call in list(self.running.values()):
+            call.cancel()
+        self.running.clear()
+
+    def _run(self, message: RunRequest) -> None:
+        match unpack_request(message.payload):
+            case Success(request):
+                self._call(message, request)
+            case Refused(kind):
+                self.count(counter_name(kind))
+                shed = RequestShed(request_id=message.request_id)
+                self.deliver(LOCAL_UPSTREAM, shed)
+
+    def _call(self, message: RunRequest, request: HttpRequest) -> None:
+        request_id = message.request_id
+        headers = Headers()
+        for name, value in request.headers:
+            headers.addRawHeader(name, value)
+        headers.setRawHeaders(b"Request-Timeout", [f"{message.ttl:.3f}".encode()])
+        headers.setRawHeaders(b"Request-Id", [request_id.encode()])
+        body = FileBodyProducer(io.BytesIO(request.body)) if request.body else None
+        call = self.agent.request(
+            request.method, self.base_url + request.path, headers, body
+        )
+        self.running[request_id] = call
+        call.addCallback(self._read)
+        call.addCallbacks(
+            lambda answer: self._ended(request_id, call, _result(request_id, answer)),
+            lambda failure: self._ended(
+                request_id, call, self._failed(request_id, failure)
+            ),
+        )
+
+    def _read(self, response: Any) -> Deferred[HttpAnswer]:
+        headers = end_to_end(response.headers.getAllRawHeaders())
+        body = read_body(response, limit=MAX_BODY_BYTES)
+        return body.addCallback(
+            lambda data: HttpAnswer(status=response.code, headers=headers, body=data)
+        )
+
+    def _failed(self, request_id: RequestId, failure: Failure) -> Payload:
+        if not_sent(failure):
+            self.count("upstream.not_reached")
+            return RequestShed(request_id=request_id)
+        if failure.check(BodyTooLargeError):
+            self.count(counter_name(ErrorKind.FRAME_TOO_LARGE))
+        self.count("upstream.broken")
+        return RequestFailed(request_id=request_id)
+
+    def _ended(
+        self, request_id: RequestId, call: Deferred[Any], result: Payload
+    ) -> None:
+        """Tells the agent, unless it has cancelled the request."""
+        if self.running.get(request_id) is call:
+            del self.running[request_id]
+            self.deliver(LOCAL_UPSTREAM, result)
+
+
+def _result(request_id: RequestId, answer: HttpAnswer) -> Payload:
+    names = {name.lower() for name, _ in answer.headers}
+    if answer.status == SHED_STATUS and b"retry-after" in names:
+        return RequestShed(request_id=request_id)
+    return RequestDone(request_id=request_id, payload=pack(answer))
--- /dev/null
+++ b/src/bramleydyke/adapters/network.py
@@ -0,0 +1,114 @@
+"""A node's connection to other nodes: codec, UDP port, links, endpoints."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from typing import Any
+
+import zmq
+from returns.result import Failure, Success
+
+from bramleydyke.adapters.codec import Received, decode, encode, goes_by_datagram
+from bramleydyke.adapters.datagrams import Datagrams
+from bramleydyke.adapters.links import LINGER_MS, Links
+from bramleydyke.constants import MAX_DATAGRAM_BYTES
+from bramleydyke.core.members import Members
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.messages import Envelope
+from bramleydyke.ports import Clock, Counter, SendRemote
+from bramleydyke.types import NodeId
+
+MAX_LEARNED = 8_192
+"""Senders whose endpoint is remembered from their frames."""
+
+
+class Network:
+    """Sends to nodes and receives from them.
+
+    The endpoint of a node is the one in its announcement, else the one in
+    the settings, else the one in its last frame. The last lets a node reply
+    to a balancer whose announcement it has not got yet.
+
+    Attributes:
+        learned: Endpoints from frames, most recent last.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        clock: Clock,
+        context: zmq.Context[Any],
+        node_id: NodeId,
+        endpoint: str,
+        members: Members,
+        seeds: Mapping[NodeId, str],
+        deliver: SendRemote,
+        count: Counter,
+    ) -> None:
+        self.node_id = node_id
+        self.endpoint = endpoint
+        self.members = members
+        self.seeds = seeds
+        self.deliver = deliver
+        self.count = count
+        self.learned: OrderedDict[NodeId, str] = OrderedDict()
+        self.links = Links(
+            reactor=reactor,
+            clock=clock,
+            context=context,
+            endpoint=endpoint,
+            receive=self.receive,
+            count=count,
+        )
+        self.datagrams = Datagrams(
+            reactor=reactor, endpoint=endpoint, receive=self.receive, count=count
+        )
+
+    def send(self, envelope: Envelope) -> None:
+        """Sends a message to another node; it may be lost."""
+        endpoint = self.endpoint_of(envelope.receiver)
+        if endpoint is None:
+            self.count("network.no_endpoint")
+            return
+        match encode(envelope, endpoint=self.endpoint):
+            case Success(frame):
+                fits = len(frame) <= MAX_DATAGRAM_BYTES
+                by_datagram = fits and goes_by_datagram(envelope.payload)
+                (self.datagrams if by_datagram else self.links).send(endpoint, frame)
+            case Failure(kind):
+                self.count(counter_name(kind))
+
+    def receive(self, frame: bytes) -> None:
+        """Delivers the message in a frame, or refuses and counts it."""
+        match decode(frame):
+            case Success(received):
+                self._accept(received)
+            case Failure(kind):
+                self.count(counter_name(kind))
+
+    def endpoint_of(self, node_id: NodeId) -> str | None:
+        """Returns where a node can be reached."""
+        member = self.members.by_node.get(node_id)
+        if member is not None:
+            return member.endpoint
+        return self.seeds.get(node_id) or self.learned.get(node_id)
+
+    def close(self, *, linger_ms: int = LINGER_MS) -> None:
+        """Closes all sockets."""
+        self.links.close(linger_ms=linger_ms)
+        self.datagrams.close()
+
+    def _accept(self, received: Received) -> None:
+        envelope = received.envelope
+        if envelope.receiver != self.node_id:
+            # A node that took over the endpoint of another one gets these.
+            self.count("network.other_receiver")
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+            return
+        self.learned[envelope.sender] = received.endpoint
+        self.learned.move_to_end(envelope.sender)
+        if len(self.learned) > MAX_LEARNED:
+            self.learned.popitem(last=False)
+        self.deliver(envelope)
--- /dev/null
+++ b/src/bramleydyke/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: one role each with its adapters."""
--- /dev/null
+++ b/src/bramleydyke/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system on one machine, under traffic and faults."""
--- /dev/null
+++ b/tests/adapters/reactor_harness.py
@@ -0,0 +1,40 @@
+"""Runs the real reactor inside a test until a condition holds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import reactor as any_reactor
+from twisted.internet.defer import Deferred
+
+from bramleydyke.daemons.environment import Environment, environment_of
+
+reactor: Any = any_reactor
+
+LIMIT_S = 10.0
+"""Time after which a condition counts as failed; far above what is needed."""
+
+
+def environment() -> Environment:
+    """Returns an environment on the real reactor, which it starts."""
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    return environment_of(reactor)
+
+
+def spin(condition: Callable[[], object], *, limit_s: float = LIMIT_S) -> None:
+    """Runs the reactor until the condition holds."""
+    ends_at = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < ends_at, "condition did not hold in time"
+        reactor.iterate(0.01)
+
+
+def result_of(deferred: Deferred[Any]) -> Any:
+    """Runs the reactor until a result is there, and returns it."""
+    results: list[Any] = []
+    deferred.addBoth(results.append)
+    spin(lambda: results)
+    return results[0]
--- /dev/null
+++ b/tests/adapters/test_links.py
@@ -0,0 +1,121 @@
+"""Links with scripted sockets and a paused clock."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import zmq
+from twisted.internet.task import Clock
+
+from bramleydyke.adapters.links import MAX_WAIT_S, MAX_WAITING_FRAMES, Links
+from bramleydyke.adapters.metrics import Metrics
+
+ENDPOINT = "127.0.0.1:7001"
+
+
+class Socket:
+    """Processes a new connection as libzmq does.
+
+    A connection that is new shows only after the socket's events were asked
+    for. A send that fails does not look, since libzmq limits how often a
+    send looks.
+    """
+
+    def __init__(self) -> None:
+        self.connecting = False
+        self.connected = False
+        self.closed = False
+        self.sent: list[bytes] = []
+
+    def get(self, option: int) -> int:
+        self.connected = self.connected or self.connecting
+        return zmq.POLLOUT if option == zmq.EVENTS and self.connected else 0
+
+    def send(self, frame: bytes, flags: int) -> None:
+        if not self.connected:
+            raise zmq.Again()
+        self.sent.append(frame)
+
+    def set(self, option: int, value: int) -> None:
+        pass
+
+    def bind(self, address: str) -> None:
+        pass
+
+    connect = bind
+
+    def close(self, linger: int) -> None:
+        self.closed = True
+
+
+class Surroundings:
+    """Reactor and zmq context at once."""
+
+    def __init__(self) -> None:
+        self.sockets: list[Socket] = []
+        self.readers: list[Any] = []
+
+    def socket(self, kind: int) -> Socket:
+        self.sockets.append(Socket())
+        return self.sockets[-1]
+
+    def addReader(self, reader: Any) -> None:  # noqa: N802
+        self.readers.append(reader)
+
+    def removeReader(self, reader: Any) -> None:  # noqa: N802
+        self.readers.remove(reader)
+
+
+def new_links() -> tuple[Links, Surroundings, Clock, Metrics]:
+    surroundings, clock, metrics = Surroundings(), Clock(), Metrics()
+    links = Links(
+        reactor=surroundings,
+        clock=clock,
+        context=surroundings,
+        endpoint="127.0.0.1:7000",
+        receive=lambda _: None,
+        count=metrics.count,
+    )
+    return links, surroundings, clock, metrics
+
+
+def test_one_signal_of_a_new_connection_moves_the_waiting_frame() -> None:
+    """Guards against the wait of a first offer until the next sweep.
+
+    Seen as 5 silent offers in a run of two balancers and three agents.
+    """
+    links, surroundings, _, _ = new_links()
+    links.send(ENDPOINT, b"first")
+    socket = surroundings.sockets[1]
+    socket.connecting = True
+    surroundings.readers[1].doRead()
+    assert socket.sent == [b"first"]
+
+
+def test_old_frames_are_not_sent_to_a_node_that_comes_back() -> None:
+    """Guards against a late offer to the successor of a dead agent."""
+    links, surroundings, clock, metrics = new_links()
+    links.send(ENDPOINT, b"old")
+    clock.pump([0.5] * int(MAX_WAIT_S * 2 + 4))
+    surroundings.sockets[1].connecting = True
+    links.send(ENDPOINT, b"new")
+    assert surroundings.sockets[1].sent == [b"new"]
+    assert metrics.counts["links.expired"] == 1
+
+
+def test_frames_for_an_unreachable_node_are_bounded() -> None:
+    """Guards against memory that a dead node fills."""
+    links, _, _, metrics = new_links()
+    for _ in range(MAX_WAITING_FRAMES + 10):
+        links.send(ENDPOINT, b"x")
+    assert len(links.peers[ENDPOINT].waiting) == MAX_WAITING_FRAMES
+    assert metrics.counts["links.dropped"] == 10
+
+
+def test_idle_links_are_closed() -> None:
+    """Guards against a socket for each node that ever was."""
+    links, surroundings, clock, _ = new_links()
+    links.send(ENDPOINT, b"x")
+    surroundings.sockets[1].connecting = True
+    clock.pump([1.0] * 70)
+    assert surroundings.sockets[1].closed and not links.peers
--- /dev/null
+++ b/tests/adapters/test_network.py
@@ -0,0 +1,206 @@
+"""Nodes over real sockets: links, datagrams, and hostile input."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+import zmq
+from hypothesis import HealthCheck, given, settings, strategies as st
+from reactor_harness import environment, reactor, spin
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.adapters.metrics import Metrics
+from bramleydyke.adapters.network import Network
+from bramleydyke.constants import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, WIRE_VERSION
+from bramleydyke.core.members import Members
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.messages import Announcement, Answer, Envelope, Payload
+from bramleydyke.types import (
+    AvailabilityZone,
+    Incarnation,
+    MemberState,
+    NodeId,
+    RequestId,
+)
+
+A, B = NodeId("balancer/a"), NodeId("balancer/b")
+
+
+def answer(payload: bytes) -> Answer:
+    return Answer(
+        request_id=RequestId("r"),
+        placement=1,
+        payload=payload,
+        backlog=0.0,
+        incarnation=Incarnation(1),
+    )
+
+
+ANNOUNCEMENT = Announcement(
+    node_id=A,
+    incarnation=Incarnation(1),
+    revision=1,
+    state=MemberState.RUNNING,
+    zone=AvailabilityZone("fes"),
+    endpoint="127.0.0.1:1",
+)
+
+
+class Peer:
+    """One node that keeps what it receives."""
+
+    def __init__(
+        self, node_id: NodeId, endpoint: str, seeds: dict[NodeId, str] | None = None
+    ) -> None:
+        self.metrics = Metrics()
+        self.got: list[Payload] = []
+        env = environment()
+        self.network = Network(
+            reactor=reactor,
+            clock=env.clock,
+            context=env.context,
+            node_id=node_id,
+            endpoint=endpoint,
+            members=Members(),
+            seeds=seeds or {},
+            deliver=lambda envelope: self.got.append(envelope.payload),
+            count=self.metrics.count,
+        )
+        self.node_id = node_id
+
+    def send(self, receiver: NodeId, payload: Payload) -> None:
+        self.network.send(Envelope(self.node_id, receiver, payload))
+
+
+@pytest.fixture()
+def peers() -> Iterator[list[Peer]]:
+    started: list[Peer] = []
+    yield started
+    for peer in started:
+        peer.network.close(linger_ms=0)
+
+
+def pair(peers: list[Peer]) -> tuple[Peer, Peer]:
+    endpoint = free_endpoint()
+    peers.append(Peer(B, endpoint))
+    peers.append(Peer(A, free_endpoint(), {B: endpoint}))
+    return peers[1], peers[0]
+
+
+def test_burst_on_a_link_arrives_whole_and_in_order(peers: list[Peer]) -> None:
+    """Guards against frames lost between two reads, or read out of order."""
+    sender, receiver = pair(peers)
+    for number in range(500):
+        sender.send(B, answer(str(number).encode()))
+    spin(lambda: len(receiver.got) == 500)
+    assert [item.payload for item in receiver.got] == [b"%d" % n for n in range(500)]
+
+
+def test_reply_reaches_a_sender_that_is_known_by_its_frame_only(
+    peers: list[Peer],
+) -> None:
+    """Guards against an agent that cannot answer a new balancer."""
+    sender, receiver = pair(peers)
+    sender.send(B, ANNOUNCEMENT)
+    spin(lambda: receiver.got)
+    receiver.send(A, answer(b"back"))
+    spin(lambda: sender.got)
+    assert sender.got == [answer(b"back")]
+
+
+def test_large_control_message_goes_by_link(peers: list[Peer]) -> None:
+    """Guards against a datagram over the size that UDP carries."""
+    sender, receiver = pair(peers)
+    big = msgspec.structs.replace(ANNOUNCEMENT, credential="x" * MAX_DATAGRAM_BYTES)
+    sender.send(B, big)
+    spin(lambda: receiver.got)
+    assert receiver.got == [big]
+
+
+def test_frame_waits_for_a_node_that_starts(peers: list[Peer]) -> None:
+    """Guards against requests that are lost while a node comes up."""
+    endpoint = free_endpoint()
+    peers.append(Peer(A, free_endpoint(), {B: endpoint}))
+    peers[0].send(B, answer(b"early"))
+    spin(lambda: peers[0].network.links.peers)
+    peers.append(Peer(B, endpoint))
+    spin(lambda: peers[1].got)
+
+
+def test_frame_for_another_node_is_refused(peers: list[Peer]) -> None:
+    """Guards against a node that acts on the messages of its predecessor."""
+    sender, receiver = pair(peers)
+    sender.network.seeds[NodeId("balancer/old")] = receiver.network.endpoint
+    sender.send(NodeId("balancer/old"), answer(b"x"))
+    spin(lambda: receiver.metrics.counts["network.other_receiver"])
+    assert receiver.got == []
+
+
+HOSTILE = st.one_of(
+    st.binary(max_size=200),
+    st.binary(max_size=50).map(lambda tail: bytes([0x95, WIRE_VERSION]) + tail),
+    st.integers(WIRE_VERSION + 1, 2**40).map(
+        lambda version: msgspec.msgpack.encode([version, "a", "b", "c", []])
+    ),
+)
+"""Random bytes, beginnings of frames that go wrong, and other versions."""
+
+
+def refusals(peer: Peer) -> int:
+    counts = peer.metrics.counts
+    return sum(counts[name] for name in counts if name.startswith("refused."))
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(frames=st.lists(HOSTILE, min_size=1, max_size=5))
+def test_hostile_frames_are_counted_and_the_node_serves_on(
+    peers: list[Peer], frames: list[bytes]
+) -> None:
+    """Guards against input on either port that stops a node or goes unseen."""
+    if not peers:
+        pair(peers)
+    receiver, sender = peers
+    before, served = refusals(receiver), len(receiver.got)
+    endpoint = parse_endpoint(receiver.network.endpoint)
+    assert endpoint is not None
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+        zmq.Context() as context,
+        context.socket(zmq.DEALER) as link,
+    ):
+        link.connect(f"tcp://{receiver.network.endpoint}")
+        for frame in frames:
+            datagrams.sendto(frame, endpoint)
+            link.send(frame)
+        link.send_multipart([b"two", b"parts"])
+        spin(lambda: refusals(receiver) == before + 2 * len(frames) + 1)
+    sender.send(B, answer(b"still"))
+    spin(lambda: len(receiver.got) == served + 1)
+
+
+def test_oversized_input_is_counted(peers: list[Peer]) -> None:
+    """Guards against memory that a sender fills, and refusals nobody sees."""
+    sender, receiver = pair(peers)
+    endpoint = parse_endpoint(receiver.network.endpoint)
+    assert endpoint is not None
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+        socket.create_connection(endpoint) as raw,
+        zmq.Context() as context,
+        context.socket(zmq.DEALER) as link,
+    ):
+        raw.sendall(b"GET / HTTP/1.1\r\n\r\n" * 1000)
+        datagrams.sendto(b"x" * (MAX_DATAGRAM_BYTES + 1), endpoint)
+        link.connect(f"tcp://{receiver.network.endpoint}")
+        link.send(b"x" * (MAX_FRAME_BYTES + 1))
+        spin(lambda: receiver.metrics.counts["refused.frame_too_large"] == 2)
+    sender.send(B, answer(b"still"))
+    spin(lambda: receiver.got)
