Run balancer, agent and platform as programs; stand-ins

Cause: the adapters had no programs around them, and nothing to talk to.

Change: settings files are checked before anything binds; `bramleydyke balancer|agent|platform|settings check`; SIGTERM drains for at least 3 s, so that a leaving node can still refuse offers on their way, and a second one stops at once. Stand-ins of the platform (versions, watches, outage, lost answers, credentials), the fabric and the upstream. `Balancer.idle` and `Agent.stop` are new in the core. HTTP clients connect to addresses without a lookup: the default looked each one up in a thread, which kept the process from ending. A request body over the bound was counted but still run; a test found it and it is refused now.

Each node still reads the sheets itself (adapters/sheet_poll.py), until the watcher does.

--- a/src/bramleydyke/adapters/http_bodies.py
+++ b/src/bramleydyke/adapters/http_bodies.py
@@ -5,11 +5,14 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 CONNECT_TIMEOUT_S = 2.0
 """Wait for a TCP connection."""
@@ -55,6 +58,24 @@
     return collector.done
 
 
+@implementer(IAgentEndpointFactory)
+class _AddressEndpoints:
+    """Connects to addresses only.
+
+    The default looks each host up in a thread, addresses as well; such a
+    thread cannot be cancelled and keeps the process from ending.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:  # noqa: N802
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(
+            self.reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S
+        )
+
+
 def new_agent(reactor: Any) -> Agent:
     """Returns an HTTP client that uses a new connection for each request.
 
@@ -64,7 +85,7 @@
     """
     pool = HTTPConnectionPool(reactor, persistent=False)
     pool.retryAutomatically = False
-    return Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
+    return Agent.usingEndpointFactory(reactor, _AddressEndpoints(reactor), pool=pool)
 
 
 def not_sent(failure: Failure) -> bool:
--- a/src/bramleydyke/adapters/http_edge.py
+++ b/src/bramleydyke/adapters/http_edge.py
@@ -75,6 +75,11 @@
             return
         super().handleContentChunk(data)
 
+    def process(self) -> None:
+        """Takes the whole request, unless its body was refused."""
+        if self.body_bytes <= MAX_BODY_BYTES:
+            super().process()
+
 
 class EdgeSite(Site):
     """A site without access log, whose requests are bounded."""
--- /dev/null
+++ b/src/bramleydyke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``bramleydyke`` command."""
--- /dev/null
+++ b/src/bramleydyke/cli/main.py
@@ -0,0 +1,34 @@
+"""Entry point of the ``bramleydyke`` command."""
+
+from __future__ import annotations
+
+import click
+
+from bramleydyke.cli.programs import agent, balancer, demo, platform
+from bramleydyke.cli.settings import settings_group
+
+COMMANDS: tuple[click.Command, ...] = (
+    balancer,
+    agent,
+    platform,
+    demo,
+    settings_group,
+)
+"""All commands and groups; add ``sheet``, ``drain`` and ``undrain`` here."""
+
+
+@click.group()
+@click.version_option(package_name="bramleydyke")
+def main() -> None:
+    """Runs and operates bramleydyke.
+
+    Exit codes: 0 holds, 1 does not hold, 2 usage, 3 refused, 4 unknown
+    outcome.
+    """
+
+
+for command in COMMANDS:
+    main.add_command(command)
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleydyke/cli/programs.py
@@ -0,0 +1,71 @@
+"""Commands that run one program until a signal ends it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from bramleydyke.cli.exits import load_or_fail
+from bramleydyke.settings import AgentSettings, BalancerSettings, PlatformSettings
+
+_FILE = click.argument(
+    "settings_file", type=click.Path(path_type=Path, exists=True, dir_okay=False)
+)
+
+
+@click.command()
+@_FILE
+def balancer(settings_file: Path) -> None:
+    """Runs a balancer with the settings in a JSON file.
+
+    SIGTERM drains it, a second one stops it at once.
+
+    Example: bramleydyke balancer examples/local/balancer-1.json
+    """
+    settings = load_or_fail(settings_file, BalancerSettings)
+    from bramleydyke.daemons.main import run_balancer
+
+    run_balancer(settings)
+
+
+@click.command()
+@_FILE
+def agent(settings_file: Path) -> None:
+    """Runs the agent beside one upstream.
+
+    SIGTERM drains the upstream, a second one stops the agent at once.
+
+    Example: bramleydyke agent examples/local/agent-1.json
+    """
+    settings = load_or_fail(settings_file, AgentSettings)
+    from bramleydyke.daemons.main import run_agent
+
+    run_agent(settings)
+
+
+@click.command()
+@_FILE
+def platform(settings_file: Path) -> None:
+    """Runs the stand-in of the platform's object API.
+
+    Example: bramleydyke platform examples/local/platform.json
+    """
+    settings = load_or_fail(settings_file, PlatformSettings)
+    from bramleydyke.daemons.main import run_platform
+
+    run_platform(settings)
+
+
+@click.command()
+@click.option("--seed", type=int, default=None, help="Seed of all random choices.")
+def demo(seed: int | None) -> None:
+    """Runs the whole system on 127.0.0.1 for about half a minute.
+
+    The last line is one JSON object with what was counted.
+
+    Example: bramleydyke demo --seed 7
+    """
+    from bramleydyke.demo.main import run_demo
+
+    raise SystemExit(run_demo(seed=seed))
--- /dev/null
+++ b/src/bramleydyke/cli/settings.py
@@ -0,0 +1,50 @@
+"""Commands about settings files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+import msgspec
+from returns.result import Failure
+
+from bramleydyke.cli.exits import Exit, fail
+from bramleydyke.settings import (
+    AgentSettings,
+    BalancerSettings,
+    PlatformSettings,
+    load,
+)
+
+ROLES = {
+    "balancer": BalancerSettings,
+    "agent": AgentSettings,
+    "platform": PlatformSettings,
+}
+
+
+@click.group("settings")
+def settings_group() -> None:
+    """Checks settings files."""
+
+
+@settings_group.command("check")
+@click.argument("role", type=click.Choice(sorted(ROLES)))
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def check(role: str, files: tuple[Path, ...], as_json: bool) -> None:
+    """Checks settings files of one role without starting it.
+
+    Example: bramleydyke settings check agent examples/local/agent-1.json
+    """
+    results = [(path, load(path, ROLES[role])) for path in files]
+    errors = [item.failure() for _, item in results if isinstance(item, Failure)]
+    if as_json:
+        report = {"files": [str(path) for path in files], "errors": errors}
+        click.echo(msgspec.json.encode(report).decode())
+    elif not errors:
+        click.echo(f"{len(files)} files hold")
+    if errors:
+        for error in errors[:-1]:
+            click.echo(f"error: {error}", err=True)
+        fail(errors[-1], Exit.DOES_NOT_HOLD)
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -204,9 +204,16 @@
             self.members.merge(announcement, now=now)
         return []
 
+    def stop(self) -> list[Envelope]:
+        """Returns the announcement that this agent is gone for good."""
+        return self._announce_state(MemberState.STOPPED)
+
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
         self.requests.draining = message.draining
         state = MemberState.DRAINING if message.draining else MemberState.RUNNING
+        return self._announce_state(state)
+
+    def _announce_state(self, state: MemberState) -> list[Envelope]:
         self.announcement = msgspec.structs.replace(
             self.announcement, state=state, revision=self.announcement.revision + 1
         )
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -98,6 +98,10 @@
         """Returns when ``wake`` has something to do, in seconds."""
         return self.placer.next_wakeup()
 
+    def idle(self) -> bool:
+        """Tells whether a draining balancer may stop."""
+        return not self.edge.waiting
+
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
         return list(self.members.upstreams(service_id, MemberState.RUNNING))
--- /dev/null
+++ b/src/bramleydyke/daemons/agent.py
@@ -0,0 +1,69 @@
+"""An agent with its sockets."""
+
+from __future__ import annotations
+
+from bramleydyke.adapters.http_upstream import HttpUpstream
+from bramleydyke.core.agent import Agent
+from bramleydyke.daemons.environment import Environment, new_incarnation
+from bramleydyke.daemons.node import Node, random_source
+from bramleydyke.messages import SetDrain
+from bramleydyke.settings import AgentSettings, seeds_of, zone_of
+from bramleydyke.types import LOCAL_UPSTREAM, NodeId, agent_node
+
+LOCAL_OPERATOR = NodeId("local/operator")
+"""Port of the process's own signals."""
+
+
+class AgentNode(Node):
+    """One agent.
+
+    Attributes:
+        agent: The role.
+        upstream: Requests that run at the upstream.
+    """
+
+    def __init__(self, settings: AgentSettings, *, environment: Environment) -> None:
+        node_id = agent_node(settings.service_id, settings.upstream_id)
+        seeds = seeds_of(settings)
+        self.agent = Agent(
+            partner_id=settings.partner_id,
+            service_id=settings.service_id,
+            upstream_id=settings.upstream_id,
+            incarnation=new_incarnation(),
+            zone=zone_of(settings),
+            endpoint=settings.listen,
+            slots=settings.slots,
+            credential=settings.credential,
+            balancers=[node for node in seeds if node.startswith("balancer/")],
+            random_source=random_source(settings, node_id=node_id),
+            now=environment.clock.seconds(),
+        )
+        super().__init__(
+            facade=self.agent,
+            settings=settings,
+            environment=environment,
+            partners=[settings.partner_id],
+        )
+        self.upstream = HttpUpstream(
+            reactor=environment.reactor,
+            base_url=settings.upstream_url,
+            deliver=self.runner.from_port,
+            count=self.metrics.count,
+        )
+        self.runner.ports[LOCAL_UPSTREAM] = self.upstream.take
+
+    def drain(self) -> None:
+        """Refuses new work; requests in progress run to their end."""
+        self.log.info("draining")
+        self.runner.from_port(LOCAL_OPERATOR, SetDrain(draining=True))
+
+    def stop(self, *, abrupt: bool = False) -> None:
+        """Stops.
+
+        Args:
+            abrupt: True tells nobody, as a crash does.
+        """
+        if not abrupt:
+            self.runner.pass_on(self.agent.stop())
+        super().stop(**({"linger_ms": 0} if abrupt else {}))
+        self.upstream.close()
--- /dev/null
+++ b/src/bramleydyke/daemons/node.py
@@ -0,0 +1,114 @@
+"""What a balancer and an agent have in common around their facade."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from bramleydyke.adapters.logs import logger
+from bramleydyke.adapters.metrics import Metrics, metrics_to
+from bramleydyke.adapters.network import Network
+from bramleydyke.adapters.platform_client import PlatformClient
+from bramleydyke.adapters.runner import Runner
+from bramleydyke.adapters.sheet_poll import SheetPoll
+from bramleydyke.core.config import ConfigDelta
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.ports import Facade
+from bramleydyke.settings import NodeSettings, seeds_of
+from bramleydyke.types import LOCAL_METRICS, LOCAL_PLATFORM, NodeId, PartnerId
+
+
+def random_source(settings: NodeSettings, *, node_id: NodeId) -> random.Random:
+    """Returns a node's seeded random source, and logs the seed."""
+    seed = settings.random_seed
+    if seed is None:
+        seed = random.SystemRandom().getrandbits(32)
+    logger("node").info("random seed", extra={"node": node_id, "seed": seed})
+    return random.Random(f"{seed}/{node_id}")
+
+
+class Node:
+    """One role with its network, platform client and counters.
+
+    Attributes:
+        facade: The role.
+        runner: Drives the role.
+        metrics: Counters of this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        facade: Facade,
+        settings: NodeSettings,
+        environment: Environment,
+        partners: Iterable[PartnerId],
+    ) -> None:
+        self.facade = facade
+        self.environment = environment
+        self.log = logger(facade.node_id)
+        self.metrics: Metrics = metrics_to(settings.statsd, prefix=facade.node_id)
+        count = self.metrics.count
+        clock = environment.clock
+        self.runner = Runner(facade=facade, clock=clock, count=count)
+        self.network = Network(
+            reactor=environment.reactor,
+            clock=clock,
+            context=environment.context,
+            node_id=facade.node_id,
+            endpoint=settings.listen,
+            members=facade.members,
+            seeds=seeds_of(settings),
+            deliver=self.runner.deliver,
+            count=count,
+        )
+        self.platform = PlatformClient(
+            reactor=environment.reactor,
+            clock=clock,
+            base_url=settings.platform.url,
+            credential=settings.platform.credential,
+            deliver=self.runner.from_port,
+        )
+        self.runner.send = self.network.send
+        self.runner.ports[LOCAL_METRICS] = self.metrics.take
+        self.runner.ports[LOCAL_PLATFORM] = self.platform.take
+        self.polls = [self._poll(partner) for partner in partners]
+
+    def start(self) -> None:
+        """Starts to work."""
+        self.log.info("started", extra={"listen": self.network.endpoint})
+        self.runner.start()
+        for poll in self.polls:
+            poll.start()
+
+    def idle(self) -> bool:
+        """Tells whether a draining node may stop."""
+        return self.facade.idle()
+
+    def stop(self, **options: Any) -> None:
+        """Stops at once and closes all sockets.
+
+        Args:
+            options: Passed to ``Network.close``.
+        """
+        for poll in self.polls:
+            poll.stop()
+        self.runner.stop()
+        self.platform.close()
+        self.network.close(**options)
+        self.log.info("stopped", extra={"counts": dict(self.metrics.counts)})
+
+    def _poll(self, partner_id: PartnerId) -> SheetPoll:
+        return SheetPoll(
+            partner_id=partner_id,
+            client=self.platform,
+            clock=self.environment.clock,
+            apply=self._apply,
+            count=self.metrics.count,
+        )
+
+    def _apply(self, delta: ConfigDelta) -> None:
+        extra = {"partner": delta.partner_id, "generation": delta.generation}
+        self.log.info("configuration read", extra=extra)
+        self.runner.from_port(LOCAL_PLATFORM, delta)
--- /dev/null
+++ b/src/bramleydyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: platform, fabric, upstream."""
--- /dev/null
+++ b/src/bramleydyke/standins/fabric.py
@@ -0,0 +1,196 @@
+"""The fabric: sprays connections and datagrams over the balancers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
+from twisted.python.failure import Failure
+
+from bramleydyke.adapters.codec import parse_endpoint
+
+CONNECT_TIMEOUT_S = 1.0
+"""Wait for a balancer before the next one is tried."""
+
+MAX_FLOWS = 4_096
+"""Callers of one service whose datagrams are passed on."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Fabric:
+    """Passes the traffic of each service address to the balancers.
+
+    Attributes:
+        targets: Where each balancer takes the traffic of an address; changed
+            as balancers join. A balancer that is gone is found out by trying.
+        passed: Connections by balancer endpoint.
+    """
+
+    reactor: Any
+    random_source: random.Random
+    targets: dict[str, list[str]] = field(default_factory=dict)
+    passed: dict[str, int] = field(default_factory=dict)
+    ports: list[Any] = field(default_factory=list)
+
+    def listen_tcp(self, address: str) -> None:
+        """Takes connections to a service address."""
+        factory = Factory.forProtocol(lambda: _Caller(self, address))
+        factory.noisy = False
+        host, port = _host_port(address)
+        self.ports.append(
+            self.reactor.listenTCP(port, factory, interface=host, backlog=511)
+        )
+
+    def listen_udp(self, address: str) -> None:
+        """Takes datagrams to a service address."""
+        host, port = _host_port(address)
+        self.ports.append(
+            self.reactor.listenUDP(port, _Sprayer(self, address), interface=host)
+        )
+
+    def order(self, address: str) -> Sequence[str]:
+        """Returns the balancers for a new connection, in random order."""
+        targets = self.targets.get(address, [])
+        return self.random_source.sample(targets, len(targets))
+
+    def stop(self) -> None:
+        """Stops to listen."""
+        for port in self.ports:
+            port.stopListening()
+
+
+def _host_port(endpoint: str) -> tuple[str, int]:
+    address = parse_endpoint(endpoint)
+    assert address is not None, endpoint
+    return address
+
+
+class _Caller(Protocol):
+    """A caller's connection, passed on to one balancer."""
+
+    def __init__(self, fabric: Fabric, address: str) -> None:
+        self.fabric = fabric
+        self.left = list(fabric.order(address))
+        self.other: _Balancer | None = None
+        self.open = True
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.transport.pauseProducing()
+        self._try_next()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.other is not None:
+            self.other.transport.write(data)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.open = False
+        if self.other is not None:
+            _end(self.other.transport, reason)
+
+    def _try_next(self, _: object = None) -> None:
+        if not self.open:
+            return
+        if not self.left:
+            self.transport.abortConnection()
+            return
+        endpoint = self.left.pop()
+        host, port = _host_port(endpoint)
+        client = TCP4ClientEndpoint(
+            self.fabric.reactor, host, port, timeout=CONNECT_TIMEOUT_S
+        )
+        call = connectProtocol(client, _Balancer(self))
+        call.addCallbacks(self._joined, self._try_next, callbackArgs=(endpoint,))
+
+    def _joined(self, other: _Balancer, endpoint: str) -> None:
+        if not self.open:
+            other.transport.abortConnection()
+            return
+        passed = self.fabric.passed
+        passed[endpoint] = passed.get(endpoint, 0) + 1
+        self.other = other
+        other.transport.setTcpNoDelay(True)
+        other.transport.registerProducer(self.transport, True)
+        self.transport.registerProducer(other.transport, True)
+        self.transport.resumeProducing()
+
+
+class _Balancer(Protocol):
+    """The balancer's end of a caller's connection."""
+
+    def __init__(self, caller: _Caller) -> None:
+        self.caller = caller
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.caller.transport.write(data)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        if self.caller.open:
+            _end(self.caller.transport, reason)
+
+
+def _end(transport: Any, reason: Failure) -> None:
+    """Ends one side as the other ended: cleanly, or by a reset."""
+    transport.unregisterProducer()
+    if reason.check(ConnectionDone):
+        transport.loseConnection()
+    else:
+        transport.abortConnection()
+
+
+class _Sprayer(DatagramProtocol):
+    """Sends each datagram to a random balancer.
+
+    Each caller has a socket of its own towards the balancers, which see its
+    address as the caller's.
+    """
+
+    noisy = False
+
+    def __init__(self, fabric: Fabric, address: str) -> None:
+        self.fabric = fabric
+        self.address = address
+        self.flows: dict[tuple[str, int], _Flow] = {}
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, caller: tuple[str, int]
+    ) -> None:
+        order = self.fabric.order(self.address)
+        if not order:
+            return
+        flow = self.flows.get(caller) or self._open(caller)
+        flow.transport.write(datagram, _host_port(order[0]))
+
+    def stopProtocol(self) -> None:  # noqa: N802
+        for flow in self.flows.values():
+            flow.port.stopListening()
+        self.flows.clear()
+
+    def _open(self, caller: tuple[str, int]) -> _Flow:
+        if len(self.flows) >= MAX_FLOWS:
+            self.flows.pop(next(iter(self.flows))).port.stopListening()
+        flow = _Flow(self, caller)
+        flow.port = self.fabric.reactor.listenUDP(
+            0, flow, interface=_host_port(self.address)[0]
+        )
+        self.flows[caller] = flow
+        return flow
+
+
+class _Flow(DatagramProtocol):
+    noisy = False
+    port: Any = None
+
+    def __init__(self, sprayer: _Sprayer, caller: tuple[str, int]) -> None:
+        self.sprayer = sprayer
+        self.caller = caller
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, _: tuple[str, int]
+    ) -> None:
+        self.sprayer.transport.write(datagram, self.caller)
--- /dev/null
+++ b/src/bramleydyke/standins/objects.py
@@ -0,0 +1,89 @@
+"""Objects of the platform stand-in: versions, conditions, watches."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleydyke.types import PartnerId
+
+MAX_VALUE_BYTES = 1_000_000
+"""Largest value that is stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """A value and its version; version 0 means that there is none."""
+
+    version: int = 0
+    value: bytes = b""
+
+
+ABSENT = StoredObject()
+
+
+@dataclass(slots=True)
+class ObjectStore:
+    """All objects by path.
+
+    Attributes:
+        watchers: Called at the next change of a path.
+    """
+
+    objects: dict[str, StoredObject] = field(default_factory=dict)
+    watchers: dict[str, list[Callable[[], None]]] = field(default_factory=dict)
+
+    def get(self, path: str) -> StoredObject:
+        """Returns an object, with version 0 if there is none."""
+        return self.objects.get(path, ABSENT)
+
+    def put(self, path: str, value: bytes, *, expected: int) -> bool:
+        """Writes an object if its version is ``expected``."""
+        if self.get(path).version != expected:
+            return False
+        self.objects[path] = StoredObject(expected + 1, value)
+        for changed in self.watchers.pop(path, []):
+            changed()
+        return True
+
+    def list(self, prefix: str) -> dict[str, int]:
+        """Returns the versions of all objects under a prefix."""
+        return {
+            path: item.version
+            for path, item in sorted(self.objects.items())
+            if path.startswith(prefix)
+        }
+
+    def watch(self, path: str, changed: Callable[[], None]) -> None:
+        """Calls ``changed`` once, at the next change of a path."""
+        self.watchers.setdefault(path, []).append(changed)
+
+    def wake_all(self) -> None:
+        """Calls all watchers, as at the start of an outage."""
+        watchers, self.watchers = self.watchers, {}
+        for changed in [item for waiting in watchers.values() for item in waiting]:
+            changed()
+
+    def unwatch(self, path: str, changed: Callable[[], None]) -> None:
+        """Forgets a watcher; unknown ones are ignored."""
+        waiting = self.watchers.get(path, [])
+        if changed in waiting:
+            waiting.remove(changed)
+
+
+def may_write(path: str, value: bytes, *, partner: PartnerId | None) -> bool:
+    """Tells whether a credential may write an object.
+
+    Args:
+        path: The object.
+        value: The value to be written.
+        partner: Partner of the credential; None for the nodes' own.
+    """
+    kind, _, rest = path.partition("/")
+    if kind in ("leases", "status"):
+        return partner is None
+    if partner is None:
+        return False
+    if kind == "claims":
+        return value == partner.encode()
+    return kind in ("sheets", "drains") and rest.split("/")[0] == partner
--- /dev/null
+++ b/src/bramleydyke/standins/platform.py
@@ -0,0 +1,242 @@
+"""The platform's object API over HTTP, with faults that can be injected."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.adapters.logs import logger
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.settings import PlatformSettings
+from bramleydyke.standins.objects import (
+    MAX_VALUE_BYTES,
+    ObjectStore,
+    StoredObject,
+    may_write,
+)
+from bramleydyke.types import PartnerId
+
+MAX_WAIT_S = 60.0
+"""Longest wait of a watch."""
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Faults that are in force."""
+
+    outage: bool = False
+    """True answers every call with 503."""
+
+    delay_s: float = 0.0
+    """Time that each call takes."""
+
+    lose_answers: int = 0
+    """Writes whose answer is lost after they have taken effect."""
+
+
+class PlatformServer:
+    """The object API as one program.
+
+    Attributes:
+        store: All objects.
+        calls: Number of calls by method; a pending watch is one.
+        faults: Faults that are in force.
+    """
+
+    def __init__(self, settings: PlatformSettings, *, environment: Environment) -> None:
+        self.settings = settings
+        self.environment = environment
+        self.store = ObjectStore()
+        self.calls: Counter[str] = Counter()
+        self.faults = Faults()
+        self.partners: dict[str, PartnerId | None] = {
+            token: PartnerId(name)
+            for name, token in settings.partner_credentials.items()
+        }
+        self.partners[settings.node_credential] = None
+        self.log = logger("platform")
+        self.port: Any = None
+
+    def start(self) -> None:
+        """Starts to listen."""
+        address = parse_endpoint(self.settings.listen)
+        assert address is not None, self.settings.listen
+        self.port = self.environment.reactor.listenTCP(
+            address[1], _ApiSite(_Api(self)), interface=address[0], backlog=511
+        )
+        self.log.info("started", extra={"listen": self.settings.listen})
+
+    def set_faults(self, faults: Faults) -> None:
+        """Puts faults into force; an outage ends pending watches."""
+        self.faults = faults
+        if faults.outage:
+            self.store.wake_all()
+
+    def drain(self) -> None:
+        """Does nothing: a pending watch would last too long to wait for."""
+
+    def idle(self) -> bool:
+        """Returns True: each call ends by itself."""
+        return True
+
+    def stop(self, *, abrupt: bool = False) -> None:
+        """Stops to listen."""
+        if self.port is not None:
+            self.port.stopListening()
+        self.log.info("stopped", extra={"calls": dict(self.calls)})
+
+
+class _ApiSite(Site):
+    noisy = False
+
+    def log(self, request: Request) -> None:
+        """Writes no access log."""
+
+
+class _Api(Resource):
+    isLeaf = True  # noqa: N815 - name given by twisted
+
+    def __init__(self, server: PlatformServer) -> None:
+        super().__init__()
+        self.server = server
+        self.clock = server.environment.clock
+
+    def render(self, request: Request) -> int:
+        """Takes a call after the injected delay."""
+        request.finished_early = False
+        request.notifyFinish().addErrback(lambda _: _mark_gone(request))
+        if request.path == b"/control":
+            self._control(request)
+        else:
+            self.server.calls[request.method.decode("ascii", "replace")] += 1
+            self.clock.callLater(self.server.faults.delay_s, self._serve, request)
+        return NOT_DONE_YET
+
+    def _serve(self, request: Request) -> None:
+        if self.server.faults.outage:
+            _reply(request, 503)
+            return
+        token = _token(request)
+        if token not in self.server.partners:
+            _reply(request, 401)
+            return
+        kind, _, path = unquote(request.path.decode("ascii", "replace"))[1:].partition(
+            "/"
+        )
+        handlers: dict[tuple[bytes, str], Callable[[Request, str], None]] = {
+            (b"GET", "objects"): self._get,
+            (b"PUT", "objects"): self._put,
+            (b"GET", "list"): self._list,
+        }
+        handler = handlers.get((request.method, kind))
+        if handler is None or not path:
+            _reply(request, 404)
+        else:
+            handler(request, path)
+
+    def _get(self, request: Request, path: str) -> None:
+        after = _number(request.args.get(b"after", [b""])[0])
+        found = self.server.store.get(path)
+        if after is not None and found.version <= after:
+            self._wait(request, path, after)
+        elif found.version == 0:
+            _reply(request, 404)
+        else:
+            _reply_object(request, 200, found)
+
+    def _wait(self, request: Request, path: str, after: int) -> None:
+        """Holds a watch until the object changes or its time is over."""
+        store = self.server.store
+        wait = min(_number(request.args.get(b"wait", [b"0"])[0]) or 0.0, MAX_WAIT_S)
+
+        def changed() -> None:
+            if timer.active():
+                timer.cancel()
+            self.clock.callLater(0, self._serve, request)
+
+        def over(_: object = None) -> None:
+            store.unwatch(path, changed)
+            if timer.active():
+                timer.cancel()
+            _reply(request, 304, version=store.get(path).version)
+
+        timer = self.clock.callLater(wait, over)
+        store.watch(path, changed)
+        request.notifyFinish().addErrback(over)
+
+    def _put(self, request: Request, path: str) -> None:
+        value = request.content.read()
+        expected = _number(request.getHeader(b"If-Version") or b"")
+        if expected is None or expected != int(expected):
+            _reply(request, 400)
+        elif len(value) > MAX_VALUE_BYTES:
+            _reply(request, 413)
+        elif not may_write(path, value, partner=self.server.partners[_token(request)]):
+            _reply(request, 403)
+        elif not self.server.store.put(path, value, expected=int(expected)):
+            _reply_object(request, 409, self.server.store.get(path))
+        elif self.server.faults.lose_answers > 0:
+            self.server.faults.lose_answers -= 1
+            request.transport.abortConnection()
+        else:
+            _reply(request, 200, version=int(expected) + 1)
+
+    def _list(self, request: Request, path: str) -> None:
+        _reply(request, 200, msgspec.json.encode(self.server.store.list(path)))
+
+    def _control(self, request: Request) -> None:
+        """Reads the call counts, or sets the faults with ``PUT``."""
+        if _token(request) != self.server.settings.control_credential:
+            _reply(request, 403)
+            return
+        if request.method == b"PUT":
+            try:
+                body = request.content.read()
+                self.server.set_faults(msgspec.json.decode(body, type=Faults))
+            except msgspec.DecodeError as error:
+                _reply(request, 400, str(error).encode())
+                return
+        state = {"calls": self.server.calls, "faults": self.server.faults}
+        _reply(request, 200, msgspec.json.encode(state))
+
+
+def _mark_gone(request: Request) -> None:
+    request.finished_early = True
+
+
+def _token(request: Request) -> str:
+    header = request.getHeader(b"Authorization") or b""
+    return header.decode("latin-1").removeprefix("Bearer ")
+
+
+def _number(text: bytes) -> float | None:
+    """Returns a number that is not negative, or None."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < float("inf") else None
+
+
+def _reply_object(request: Request, status: int, found: StoredObject) -> None:
+    _reply(request, status, found.value, version=found.version)
+
+
+def _reply(
+    request: Request, status: int, body: bytes = b"", *, version: int | None = None
+) -> None:
+    """Answers a call, unless its caller is gone."""
+    if request.finished_early or request.finished:
+        return
+    request.setResponseCode(status)
+    if version is not None:
+        request.setHeader(b"Version", str(version).encode())
+    request.setHeader(b"Content-Length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/src/bramleydyke/standins/upstream.py
@@ -0,0 +1,254 @@
+"""An upstream with slots, whose behaviour can be made difficult."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.ports import Clock, DelayedCall
+from bramleydyke.standins.ledger import Ledger
+from bramleydyke.types import ServiceId
+
+SIGMA = 0.8
+"""Shape of the log-normal service times, as in the targets."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Behaviour:
+    """How an upstream serves; each field may change while it runs.
+
+    Attributes:
+        slots: Requests that it serves at the same time.
+        queue: Requests that wait for a slot before more are shed.
+        service_time_s: Mean service time.
+        cold_s: Time after the start in which it is slower.
+        cold_factor: How many times slower it is then.
+        draining: True sheds all new requests.
+        shed_share: Share of new requests that it sheds at random.
+        break_share: Share of answers whose connection breaks instead.
+        report_lag_s: Age of what the health and load endpoints report.
+        false_health: What the health endpoint reports instead of the truth.
+        false_load: What the load endpoint reports instead of the truth.
+    """
+
+    slots: int = 1
+    queue: int = 4
+    service_time_s: float = 0.05
+    cold_s: float = 0.0
+    cold_factor: float = 4.0
+    draining: bool = False
+    shed_share: float = 0.0
+    break_share: float = 0.0
+    report_lag_s: float = 0.0
+    false_health: bool | None = None
+    false_load: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    request: Request
+    body: bytes
+    expires: DelayedCall | None = None
+    ends: DelayedCall | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """One upstream, without its socket.
+
+    Attributes:
+        running: Requests in a slot.
+        waiting: Requests that wait for one, oldest first.
+        counts: Number of requests by how they ended.
+        history: Load at each change, for the lag of the load endpoint.
+    """
+
+    service_id: ServiceId
+    behaviour: Behaviour
+    ledger: Ledger
+    clock: Clock
+    random_source: random.Random
+    started_at: float = 0.0
+    running: set[_Job] = field(default_factory=set)
+    waiting: deque[_Job] = field(default_factory=deque)
+    counts: Counter[str] = field(default_factory=Counter)
+    history: deque[tuple[float, bool, float]] = field(default_factory=deque)
+
+    def __post_init__(self) -> None:
+        self.started_at = self.clock.seconds()
+
+    def arrived(self, request: Request) -> None:
+        """Runs, queues or sheds a request."""
+        if self._sheds():
+            self._shed(request, "shed")
+            return
+        job = _Job(request, request.content.read())
+        request.notifyFinish().addErrback(lambda _: self._cancelled(job))
+        timeout = _timeout(request)
+        if timeout is not None:
+            job.expires = self.clock.callLater(timeout, self._expired, job)
+        self.waiting.append(job)
+        self._start()
+
+    def load(self) -> float:
+        """Returns the running and waiting requests per slot."""
+        return (len(self.running) + len(self.waiting)) / self.behaviour.slots
+
+    def healthy(self) -> bool:
+        """Tells whether the upstream takes new requests."""
+        return not self.behaviour.draining
+
+    def report(self) -> tuple[bool, float]:
+        """Returns the health and load that the endpoints report."""
+        oldest = self.clock.seconds() - self.behaviour.report_lag_s
+        health, load = True, 0.0
+        for at, was_healthy, was_load in self.history:
+            if at > oldest:
+                break
+            health, load = was_healthy, was_load
+        if self.behaviour.report_lag_s == 0:
+            health, load = self.healthy(), self.load()
+        false_health, false_load = (
+            self.behaviour.false_health,
+            self.behaviour.false_load,
+        )
+        return (
+            health if false_health is None else false_health,
+            load if false_load is None else false_load,
+        )
+
+    def _sheds(self) -> bool:
+        full = len(self.waiting) >= self.behaviour.queue
+        busy = len(self.running) >= self.behaviour.slots
+        by_chance = self.random_source.random() < self.behaviour.shed_share
+        return self.behaviour.draining or (full and busy) or by_chance
+
+    def _start(self) -> None:
+        while self.waiting and len(self.running) < self.behaviour.slots:
+            job = self.waiting.popleft()
+            self.running.add(job)
+            self.ledger.ran(job.body, service_id=self.service_id)
+            job.ends = self.clock.callLater(self._service_time(), self._done, job)
+        self._note()
+
+    def _service_time(self) -> float:
+        mean = self.behaviour.service_time_s
+        if self.clock.seconds() - self.started_at < self.behaviour.cold_s:
+            mean *= self.behaviour.cold_factor
+        # exp(mu + sigma^2 / 2) is the mean of a log-normal distribution.
+        return mean * self.random_source.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+
+    def _done(self, job: _Job) -> None:
+        breaks = self.random_source.random() < self.behaviour.break_share
+        self._leave(job, "broken" if breaks else "done")
+        if breaks:
+            job.request.transport.abortConnection()
+        else:
+            _answer(job.request, 200, job.body)
+        self._start()
+
+    def _expired(self, job: _Job) -> None:
+        """Refuses a request that still waits at its deadline."""
+        if job in self.waiting:
+            self._leave(job, "expired")
+            self._shed(job.request, "shed")
+
+    def _cancelled(self, job: _Job) -> None:
+        if job in self.running or job in self.waiting:
+            self._leave(job, "cancelled")
+            self._start()
+
+    def _leave(self, job: _Job, how: str) -> None:
+        self.running.discard(job)
+        if job in self.waiting:
+            self.waiting.remove(job)
+        for timer in (job.expires, job.ends):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self.counts[how] += 1
+        self._note()
+
+    def _shed(self, request: Request, how: str) -> None:
+        self.counts[how] += 1
+        request.setHeader(b"Retry-After", b"1")
+        _answer(request, 503, b"")
+
+    def _note(self) -> None:
+        """Keeps the load of the last moments for a lagging report."""
+        now = self.clock.seconds()
+        self.history.append((now, self.healthy(), self.load()))
+        oldest = now - self.behaviour.report_lag_s
+        while len(self.history) > 1 and self.history[1][0] <= oldest:
+            self.history.popleft()
+
+
+class UpstreamServer:
+    """An upstream that listens."""
+
+    def __init__(self, upstream: Upstream, *, reactor: Any, listen: str) -> None:
+        self.upstream = upstream
+        address = parse_endpoint(listen)
+        assert address is not None, listen
+        site = _QuietSite(_Pages(upstream), reactor=reactor)
+        self.port = reactor.listenTCP(
+            address[1], site, interface=address[0], backlog=511
+        )
+
+    def stop(self) -> None:
+        """Stops to listen."""
+        self.port.stopListening()
+
+
+class _QuietSite(Site):
+    noisy = False
+
+    def log(self, request: Request) -> None:
+        """Writes no access log."""
+
+
+class _Pages(Resource):
+    isLeaf = True  # noqa: N815 - name given by twisted
+
+    def __init__(self, upstream: Upstream) -> None:
+        super().__init__()
+        self.upstream = upstream
+
+    def render(self, request: Request) -> int:
+        """Serves the report endpoints; all other paths are work."""
+        pages: dict[bytes, Callable[[Request], None]] = {
+            b"/health": self._health,
+            b"/load": self._load,
+        }
+        pages.get(request.path, self.upstream.arrived)(request)
+        return NOT_DONE_YET
+
+    def _health(self, request: Request) -> None:
+        healthy, _ = self.upstream.report()
+        _answer(request, 200 if healthy else 503, b"")
+
+    def _load(self, request: Request) -> None:
+        _, load = self.upstream.report()
+        _answer(request, 200, msgspec.json.encode({"load": load}))
+
+
+def _timeout(request: Request) -> float | None:
+    """Returns the time left in the deadline header, in seconds."""
+    try:
+        return max(0.0, float(request.getHeader(b"Request-Timeout") or b""))
+    except ValueError:
+        return None
+
+
+def _answer(request: Request, status: int, body: bytes) -> None:
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/tests/adapters/test_http.py
@@ -0,0 +1,324 @@
+"""HTTP edge and upstream client over real sockets."""
+
+from __future__ import annotations
+
+import io
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import pytest
+from reactor_harness import environment, reactor, result_of, spin
+from twisted.internet.protocol import Factory, Protocol
+from twisted.web.client import FileBodyProducer
+from twisted.web.http_headers import Headers
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.adapters.http_bodies import new_agent, read_body
+from bramleydyke.adapters.http_edge import CallerPort
+from bramleydyke.adapters.http_payload import (
+    MAX_BODY_BYTES,
+    HttpAnswer,
+    HttpRequest,
+    end_to_end,
+    pack,
+    unpack_answer,
+    unpack_request,
+)
+from bramleydyke.adapters.http_upstream import HttpUpstream
+from bramleydyke.adapters.metrics import Metrics
+from bramleydyke.demo.endpoints import HOST, free_endpoint
+from bramleydyke.errors import ANSWERS, ErrorKind
+from bramleydyke.messages import (
+    AnswerCaller,
+    Payload,
+    RefuseCaller,
+    RequestAbandoned,
+    RequestArrived,
+    RequestDone,
+    RequestFailed,
+    RequestShed,
+    RunRequest,
+    StopRequest,
+)
+from bramleydyke.standins.ledger import Ledger, Work
+from bramleydyke.standins.upstream import Behaviour, Upstream, UpstreamServer
+from bramleydyke.types import RequestId, ServiceAddress, ServiceId
+
+SERVICE = ServiceId("federation/bourse-beurre")
+ADDRESS = ServiceAddress("10.0.0.1:80")
+
+
+class Edge:
+    """An edge whose requests wait until the test answers them."""
+
+    def __init__(self) -> None:
+        environment()
+        self.metrics = Metrics()
+        self.got: list[Any] = []
+        self.port = CallerPort(
+            deliver=lambda _, message: self.got.append(message),
+            count=self.metrics.count,
+        )
+        site = self.port.site(ADDRESS, reactor=reactor)
+        self.listener = reactor.listenTCP(0, site, interface=HOST)
+        self.url = f"http://{HOST}:{self.listener.getHost().port}/x?y=1".encode()
+        self.results: list[Any] = []
+
+    def call(self, method: bytes = b"POST", body: bytes = b"", **headers: str) -> Any:
+        names = {name.replace("_", "-").encode(): [v] for name, v in headers.items()}
+        producer = FileBodyProducer(io.BytesIO(body)) if body else None
+        agent = new_agent(reactor)
+        call = agent.request(method, self.url, Headers(names), producer)
+        call.addBoth(self.results.append)
+        return call
+
+    def arrived(self, count: int = 1) -> RequestArrived:
+        spin(lambda: len(self.got) >= count)
+        return self.got[count - 1]
+
+    def response(self) -> tuple[int, Headers, bytes]:
+        spin(lambda: self.results)
+        response = self.results.pop()
+        body = result_of(read_body(response, limit=10_000))
+        return response.code, response.headers, body
+
+
+@pytest.fixture()
+def edge() -> Iterator[Edge]:
+    started = Edge()
+    yield started
+    started.listener.stopListening()
+
+
+def test_terms_of_a_request_reach_the_balancer(edge: Edge) -> None:
+    """Guards against a key, deadline or first attempt that is lost."""
+    edge.call(
+        body=b"lot",
+        Idempotency_Key="k",
+        Request_Timeout="2.5",
+        Request_Attempt="0",
+        Connection="close",
+    )
+    message = edge.arrived()
+    assert (message.address, message.request_id) == (ADDRESS, "k")
+    assert (message.timeout, message.first_attempt) == (2.5, True)
+    assert not message.idempotent
+    request = unpack_request(message.payload).unwrap()
+    assert (request.method, request.path, request.body) == (b"POST", b"/x?y=1", b"lot")
+    assert b"connection" not in {name.lower() for name, _ in request.headers}
+
+
+@pytest.mark.parametrize(
+    ("headers", "method", "idempotent", "first"),
+    [
+        ({}, b"GET", True, False),
+        ({}, b"PUT", True, False),
+        ({}, b"POST", False, False),
+        ({"Request_Attempt": "1"}, b"PATCH", False, False),
+    ],
+)
+def test_what_may_run_twice_is_told_by_the_method(
+    edge: Edge, headers: dict[str, str], method: bytes, idempotent: bool, first: bool
+) -> None:
+    """Guards against an order that is placed twice as if it were a read."""
+    edge.call(method, **headers)
+    message = edge.arrived()
+    assert (message.idempotent, message.first_attempt) == (idempotent, first)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Request_Timeout": "nan"},
+        {"Request_Timeout": "-1"},
+        {"Request_Attempt": "x"},
+        {"Idempotency_Key": "k" * 300},
+    ],
+)
+def test_malformed_terms_are_refused(edge: Edge, headers: dict[str, str]) -> None:
+    """Guards against a request that runs under other terms than it gave."""
+    edge.call(**headers)
+    code, answer, _ = edge.response()
+    assert (code, edge.got) == (400, [])
+    assert answer.getRawHeaders("Bramleydyke-Outcome") == ["not-run"]
+
+
+def test_answer_passes_unchanged_but_for_the_connection(edge: Edge) -> None:
+    """Guards against an answer that reaches its caller cut or changed."""
+    edge.call()
+    payload = pack(HttpAnswer(201, ((b"X-Lot", b"7"),), b"a\0b"))
+    edge.port.take(AnswerCaller(caller=edge.arrived().caller, payload=payload))
+    code, headers, body = edge.response()
+    assert (code, body, headers.getRawHeaders("X-Lot")) == (201, b"a\0b", ["7"])
+
+
+@pytest.mark.parametrize("kind", [ErrorKind.SHED, ErrorKind.AGENT_SILENT])
+def test_refusal_tells_its_outcome(edge: Edge, kind: ErrorKind) -> None:
+    """Guards against an unknown outcome that looks like a definite one."""
+    edge.call()
+    edge.port.take(RefuseCaller(caller=edge.arrived().caller, kind=kind))
+    code, headers, body = edge.response()
+    answer = ANSWERS[kind]
+    assert code == answer.http_status
+    assert headers.getRawHeaders("Bramleydyke-Outcome") == [answer.outcome.value]
+    assert msgspec.json.decode(body)["error"] == kind.value
+
+
+def test_caller_that_goes_away_abandons_its_request(edge: Edge) -> None:
+    """Guards against work for callers that are gone."""
+    call = edge.call()
+    caller = edge.arrived().caller
+    call.cancel()
+    spin(lambda: len(edge.got) == 2)
+    assert edge.got[1] == RequestAbandoned(caller=caller)
+    edge.port.take(AnswerCaller(caller=caller, payload=b""))
+
+
+def test_body_over_the_bound_is_refused(edge: Edge) -> None:
+    """Guards against a request too large for a frame, and its memory."""
+    edge.call(body=b"x" * (MAX_BODY_BYTES + 1))
+    spin(lambda: edge.metrics.counts["refused.frame_too_large"])
+    spin(lambda: edge.results)
+    assert edge.got == []
+
+
+def test_headers_named_by_connection_stay_behind() -> None:
+    """Guards against headers of one connection that reach the next."""
+    headers = [(b"Connection", [b"close, X-Hop"]), (b"X-Hop", [b"1"]), (b"A", [b"2"])]
+    assert end_to_end(headers) == ((b"A", b"2"),)
+
+
+class Runs:
+    """An upstream stand-in and the client towards it."""
+
+    def __init__(self, listen: str | None = None) -> None:
+        env = environment()
+        self.ledger = Ledger()
+        self.metrics = Metrics()
+        self.got: list[Payload] = []
+        endpoint = listen or free_endpoint()
+        self.upstream = Upstream(
+            service_id=SERVICE,
+            behaviour=Behaviour(service_time_s=0.01),
+            ledger=self.ledger,
+            clock=env.clock,
+            random_source=random.Random(7),
+        )
+        self.server = (
+            None
+            if listen
+            else UpstreamServer(self.upstream, reactor=reactor, listen=endpoint)
+        )
+        self.client = HttpUpstream(
+            reactor=reactor,
+            base_url=f"http://{endpoint}",
+            deliver=lambda _, message: self.got.append(message),
+            count=self.metrics.count,
+        )
+
+    def run(self, request_id: str = "r", *, ttl: float = 5.0) -> None:
+        body = msgspec.json.encode(Work(request_id, SERVICE))
+        payload = pack(HttpRequest(b"POST", b"/work", (), body))
+        message = RunRequest(request_id=RequestId(request_id), payload=payload, ttl=ttl)
+        self.client.take(message)
+
+    def result(self) -> Payload:
+        spin(lambda: self.got)
+        return self.got.pop()
+
+
+@pytest.fixture()
+def runs() -> Iterator[Runs]:
+    started = Runs()
+    yield started
+    started.client.close()
+    started.server.stop()
+
+
+def test_request_runs_and_its_answer_comes_back(runs: Runs) -> None:
+    """Guards against a break between agent and upstream."""
+    runs.run()
+    result = runs.result()
+    assert isinstance(result, RequestDone)
+    assert msgspec.json.decode(unpack_answer(result.payload).unwrap().body)["id"] == "r"
+    assert runs.ledger.runs == {"r": 1}
+
+
+def test_refusal_before_running_is_shed(runs: Runs) -> None:
+    """Guards against a refusal by the upstream that ends as an answer."""
+    runs.upstream.behaviour.draining = True
+    runs.run()
+    assert runs.result() == RequestShed(request_id=RequestId("r"))
+    assert not runs.ledger.runs
+
+
+def test_connection_that_breaks_after_sending_is_failed(runs: Runs) -> None:
+    """Guards against a request told as not run although it ran."""
+    runs.upstream.behaviour.break_share = 1.0
+    runs.run()
+    assert runs.result() == RequestFailed(request_id=RequestId("r"))
+    assert runs.ledger.runs == {"r": 1}
+
+
+def test_upstream_that_does_not_listen_is_shed() -> None:
+    """Guards against an unknown outcome for what was never sent."""
+    environment()
+    runs = Runs(listen=free_endpoint())
+    runs.run()
+    assert runs.result() == RequestShed(request_id=RequestId("r"))
+
+
+def test_stop_cancels_at_the_upstream_and_tells_nothing(runs: Runs) -> None:
+    """Guards against work that goes on, or ends twice, after a stop."""
+    runs.upstream.behaviour.service_time_s = 1_000.0
+    runs.run()
+    spin(lambda: runs.upstream.running)
+    runs.client.take(StopRequest(request_id=RequestId("r")))
+    spin(lambda: runs.upstream.counts["cancelled"])
+    assert runs.got == [] and not runs.client.running
+
+
+def test_deadline_is_passed_on(runs: Runs) -> None:
+    """Guards against an upstream that runs what nobody waits for."""
+    runs.upstream.behaviour.service_time_s = 1_000.0
+    runs.run("first")
+    spin(lambda: runs.upstream.running)
+    runs.run("second", ttl=0.05)
+    assert runs.result() == RequestShed(request_id=RequestId("second"))
+    assert runs.ledger.runs == {"first": 1}
+
+
+class Rude(Protocol):
+    """Answers each connection with given bytes."""
+
+    data = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.transport.write(self.data)
+        self.transport.loseConnection()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\0\xff" * 50,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_BODY_BYTES + 1),
+    ],
+    ids=["nothing", "noise", "cut", "length", "large"],
+)
+def test_broken_answers_are_failed(data: bytes) -> None:
+    """Guards against an incomplete answer that reaches the caller."""
+    environment()
+    endpoint = free_endpoint()
+    factory = Factory.forProtocol(type("Once", (Rude,), {"data": data}))
+    factory.noisy = False
+    port = reactor.listenTCP(parse_endpoint(endpoint)[1], factory, interface=HOST)
+    runs = Runs(listen=endpoint)
+    runs.run()
+    assert runs.result() == RequestFailed(request_id=RequestId("r"))
+    port.stopListening()
--- /dev/null
+++ b/tests/adapters/test_lifecycle.py
@@ -0,0 +1,60 @@
+"""Drain and stop of a program, with a paused clock."""
+
+from __future__ import annotations
+
+from twisted.internet.task import Clock
+
+from bramleydyke.constants import DRAIN_NOTICE_S
+from bramleydyke.daemons.lifecycle import IDLE_POLL_S, Lifecycle, Program, new_lifecycle
+
+
+class Work:
+    """Notes what the lifecycle does."""
+
+    def __init__(self) -> None:
+        self.done: list[str] = []
+        self.busy = True
+        self.clock = Clock()
+
+    def lifecycle(self) -> Lifecycle:
+        return new_lifecycle(
+            Program(
+                drain=lambda: self.done.append("drain"),
+                idle=lambda: not self.busy,
+                stop=lambda abrupt: self.done.append("abort" if abrupt else "stop"),
+                clock=self.clock,
+            )
+        )
+
+
+def test_first_signal_waits_for_the_work() -> None:
+    """Guards against a planned stop that interrupts a request (H7)."""
+    work = Work()
+    work.lifecycle().terminate()
+    work.clock.pump([1.0] * 20)
+    assert work.done == ["drain"]
+    work.busy = False
+    work.clock.pump([IDLE_POLL_S] * 5)
+    assert work.done == ["drain", "stop"]
+
+
+def test_idle_program_stays_until_peers_know() -> None:
+    """Guards against offers on their way to a node that left at once."""
+    work = Work()
+    work.busy = False
+    work.lifecycle().terminate()
+    work.clock.advance(DRAIN_NOTICE_S - 0.1)
+    assert work.done == ["drain"]
+    work.clock.advance(0.2)
+    assert work.done == ["drain", "stop"]
+
+
+def test_second_signal_stops_at_once_and_only_once() -> None:
+    """Guards against a program that cannot be ended, or ends twice."""
+    work = Work()
+    lifecycle = work.lifecycle()
+    for _ in range(3):
+        lifecycle.terminate()
+    work.busy = False
+    work.clock.pump([1.0] * 10)
+    assert work.done == ["drain", "abort"]
