Add `make demo`: the whole system under traffic and faults

Cause: nothing showed the parts together while things change.

Change: one reactor runs the platform, the fabric, 18 upstreams with their agents, three balancers and callers. While traffic runs, sheets change, a balancer is killed, one joins, an upstream is drained, a weight changes and the platform is down for 3 s. The last line is one JSON object; the exit code is 1 if a promise did not hold.

--- /dev/null
+++ b/src/bramleydyke/demo/http_traffic.py
@@ -0,0 +1,180 @@
+"""Callers of one HTTP service."""
+
+from __future__ import annotations
+
+import io
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.client import FileBodyProducer
+from twisted.web.http_headers import Headers
+
+from bramleydyke.adapters.http_bodies import new_agent, read_body
+from bramleydyke.constants import FIRST_ATTEMPT_VALID_S
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.standins.ledger import Work
+from bramleydyke.types import Outcome, ServiceId
+
+REQUEST_TIMEOUT_S = 5.0
+"""Deadline of each request."""
+
+TRY_MARGIN_S = 1.0
+"""Time beyond the deadline until a caller breaks off."""
+
+MAX_TRIES = 4
+"""Tries of one piece of work."""
+
+BODY_LIMIT = 100_000
+"""Largest answer that is read, in bytes."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Piece:
+    """One piece of work and its tries.
+
+    Attributes:
+        key: Idempotency key; a new one after each definite refusal.
+        attempt: Number of the try with this key.
+    """
+
+    work: Work
+    body: bytes
+    keyed: bool
+    key: str
+    attempt: int = 0
+    tries: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class HttpTraffic:
+    """Poisson arrivals of requests to one service.
+
+    A third each are idempotent, keyed, and neither. Callers repeat a request
+    after a definite refusal, and after a broken connection if it is
+    idempotent or keyed.
+
+    Attributes:
+        rate: Requests a second.
+        counts: Number of pieces of work by how they ended.
+        errors: Number of refusals by status and outcome.
+    """
+
+    environment: Environment
+    service_id: ServiceId
+    address: str
+    rate: float
+    random_source: random.Random
+    counts: Counter[str] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+    open: int = 0
+    stopped: bool = False
+    _numbers: Any = field(default_factory=lambda: itertools.count(1))
+    _agent: Any = None
+
+    def start(self) -> None:
+        """Starts to send."""
+        self._agent = new_agent(self.environment.reactor)
+        self._schedule()
+
+    def stop(self) -> None:
+        """Sends no new work; what is open goes on."""
+        self.stopped = True
+
+    def ended(self) -> bool:
+        """Tells whether no work is open."""
+        return self.stopped and self.open == 0
+
+    def _schedule(self) -> None:
+        delay = self.random_source.expovariate(self.rate)
+        self.environment.clock.callLater(delay, self._arrive)
+
+    def _arrive(self) -> None:
+        if self.stopped:
+            return
+        self._schedule()
+        number = next(self._numbers)
+        kind = number % 3
+        work_id = f"{self.service_id}/{number}"
+        work = Work(work_id, self.service_id, idempotent=kind == 0)
+        self.counts["requests"] += 1
+        self.open += 1
+        self._try(
+            _Piece(
+                work=work,
+                body=msgspec.json.encode(work),
+                keyed=kind == 1,
+                key=work_id,
+            )
+        )
+
+    def _try(self, piece: _Piece) -> None:
+        piece.tries += 1
+        headers = Headers({b"Request-Timeout": [str(REQUEST_TIMEOUT_S).encode()]})
+        if piece.keyed:
+            headers.setRawHeaders(b"Idempotency-Key", [piece.key.encode()])
+            headers.setRawHeaders(b"Request-Attempt", [str(piece.attempt).encode()])
+        call = self._agent.request(
+            b"PUT" if piece.work.idempotent else b"POST",
+            f"http://{self.address}/work".encode(),
+            headers,
+            FileBodyProducer(io.BytesIO(piece.body)),
+        )
+        call.addCallback(_whole)
+        limit = self.environment.clock.callLater(
+            REQUEST_TIMEOUT_S + TRY_MARGIN_S, call.cancel
+        )
+        call.addBoth(lambda result: _cancel(limit, result))
+        call.addCallbacks(
+            lambda answer: self._answered(piece, *answer),
+            lambda _: self._broken(piece),
+        )
+
+    def _answered(self, piece: _Piece, status: int, outcome: str, body: bytes) -> None:
+        if status == 200:
+            right = body == piece.body
+            self._end("answered" if right else "wrong_answer")
+            return
+        self.errors[f"{status} {outcome}"] += 1
+        if outcome != Outcome.NOT_RUN.value:
+            self._end("unknown")
+        elif piece.tries < MAX_TRIES:
+            # It certainly did not run, so a new key is safe.
+            piece.key = f"{piece.work.id}/{piece.tries}"
+            piece.attempt = 0
+            self._again(piece, self.random_source.uniform(0.1, 0.5))
+        else:
+            self._end("refused_not_run")
+
+    def _broken(self, piece: _Piece) -> None:
+        """Repeats work after a broken connection, if that cannot harm."""
+        self.errors["broken"] += 1
+        repeatable = piece.keyed or piece.work.idempotent
+        if repeatable and piece.tries < MAX_TRIES:
+            piece.attempt += 1
+            self._again(piece, FIRST_ATTEMPT_VALID_S)
+        else:
+            self._end("unknown")
+
+    def _again(self, piece: _Piece, delay: float) -> None:
+        self.environment.clock.callLater(delay, self._try, piece)
+
+    def _end(self, how: str) -> None:
+        self.counts[how] += 1
+        self.open -= 1
+
+
+def _whole(response: Any) -> Deferred[tuple[int, str, bytes]]:
+    outcome = response.headers.getRawHeaders(b"Bramleydyke-Outcome", [b""])[0]
+    body = read_body(response, limit=BODY_LIMIT)
+    return body.addCallback(lambda data: (response.code, outcome.decode(), data))
+
+
+def _cancel(timer: Any, result: Any) -> Any:
+    if timer.active():
+        timer.cancel()
+    return result
--- /dev/null
+++ b/src/bramleydyke/demo/main.py
@@ -0,0 +1,96 @@
+"""Runs the demo and judges its result."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+import click
+import msgspec
+
+from bramleydyke.adapters.logs import json_handler
+from bramleydyke.daemons.environment import environment_of
+from bramleydyke.demo.deployment import load_deployments
+from bramleydyke.demo.scenario import Scenario
+
+IN_FORCE_LIMIT_S = 7.0
+"""Longest time until a generation is in force everywhere."""
+
+UNKNOWN_SHARE = 0.02
+"""Largest share of requests whose outcome may be unknown.
+
+Some are at the killed balancer when it dies.
+"""
+
+RUN_LIMIT_S = 55.0
+"""Time after which the demo ends as failed."""
+
+
+def run_demo(*, seed: int | None) -> int:
+    """Runs the demo.
+
+    Returns:
+        0 if everything that the system promises held, else 1.
+    """
+    from twisted.internet import reactor as any_reactor
+
+    # Importing the reactor installs it, so only programs do so.
+    reactor: Any = any_reactor
+    seed = random.SystemRandom().getrandbits(32) if seed is None else seed
+    click.echo(f"seed {seed}")
+    environment = environment_of(reactor)
+    results: list[dict[str, Any]] = []
+
+    def finish(result: dict[str, Any]) -> None:
+        results.append(result)
+        reactor.callLater(0.5, reactor.stop)
+
+    with json_handler(level="WARNING").applicationbound():
+        scenario = Scenario(
+            environment=environment,
+            deployments=load_deployments(),
+            seed=seed,
+            say=click.echo,
+            finish=finish,
+        )
+        reactor.callWhenRunning(scenario.run)
+        reactor.callLater(RUN_LIMIT_S, reactor.stop)
+        reactor.run()
+    _report_counters(scenario)
+    result = results[0] if results else scenario.result()
+    faults = broken_promises(result) + ([] if results else ["time limit"])
+    for fault in faults:
+        click.echo(f"does not hold: {fault}")
+    click.echo(msgspec.json.encode(result).decode())
+    return 1 if faults else 0
+
+
+def broken_promises(result: dict[str, Any]) -> list[str]:
+    """Returns what the system promises and the run did not show."""
+    ended = sum(
+        result[name]
+        for name in ("answered", "refused_not_run", "unknown", "wrong_answer")
+    )
+    checks = {
+        "no work ran twice": result["ran_twice"] == 0,
+        "no payload reached another service": result["wrong_service"] == 0,
+        "every answer belongs to its request": result["wrong_answer"] == 0,
+        "no planned change broke a flow": result["broken_flows"] == 0,
+        "every request ended": ended == result["requests"] > 0,
+        "few outcomes are unknown": result["unknown"]
+        <= UNKNOWN_SHARE * result["requests"],
+        "generations were in force in time": result["generation_in_force_s"]
+        <= IN_FORCE_LIMIT_S,
+    }
+    return [text for text, holds in checks.items() if not holds] + result["failures"]
+
+
+def _report_counters(scenario: Scenario) -> None:
+    counters: Counter[str] = Counter()
+    for node in scenario.system.retired:
+        counters.update(node.metrics.counts)
+    for item in scenario.traffic:
+        counters.update({f"caller.{name}": n for name, n in item.errors.items()})
+    for name, amount in sorted(counters.items()):
+        click.echo(f"{amount:8}  {name}")
--- /dev/null
+++ b/src/bramleydyke/demo/scenario.py
@@ -0,0 +1,222 @@
+"""What happens in the demo, and when."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bramleydyke.constants import DRAIN_NOTICE_S
+from bramleydyke.core.config import ServiceConfig
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.demo.deployment import Deployment, service_config
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.demo.sheets import SheetWriter
+from bramleydyke.demo.system import System
+from bramleydyke.demo.traffic import TRAFFIC, Traffic, totals
+from bramleydyke.standins.platform import Faults
+from bramleydyke.types import PartnerId, ServiceId, UpstreamId
+
+BALANCERS = ("b1", "b2", "b3", "b4")
+"""All balancers; the last one joins while traffic runs."""
+
+OUTAGE_S = 3.0
+"""Time for which the platform is down."""
+
+END_LIMIT_S = 15.0
+"""Wait for open work and generations after the traffic has stopped."""
+
+CHANGED_SERVICE = ServiceId("federation/bourse-beurre")
+"""The service that gets a new weight, and loses an upstream by a drain."""
+
+
+class Scenario:
+    """One run of the demo.
+
+    Attributes:
+        say: Prints a line about each event.
+        finish: Called with the result at the end.
+    """
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        deployments: list[Deployment],
+        seed: int,
+        say: Callable[[str], None],
+        finish: Callable[[dict[str, Any]], None],
+    ) -> None:
+        self.environment = environment
+        self.clock = environment.clock
+        self.seed = seed
+        self.say = say
+        self.finish = finish
+        self.started_at = self.clock.seconds()
+        self.sheets = {
+            item.partner: {
+                config.service_id: config
+                for config in (
+                    service_config(item, service, address=free_endpoint())
+                    for service in item.services
+                )
+            }
+            for item in deployments
+        }
+        self.zones = [zone for item in deployments for zone in item.places]
+        self.system = System(
+            environment=environment,
+            seed=seed,
+            partners=list(self.sheets),
+            balancer_names=BALANCERS,
+        )
+        self.writers: dict[PartnerId, SheetWriter] = {}
+        self.traffic: list[Traffic] = []
+        self.failures: list[str] = []
+
+    def timeline(self) -> list[tuple[float, str, Callable[[], None]]]:
+        """Returns all events with their times in seconds."""
+        return [
+            (0.0, "platform, balancers, upstreams and agents start", self._start),
+            (0.5, "both partners put their first sheet into force", self._sheets),
+            (2.0, "traffic starts", self._traffic),
+            (5.0, "the studio puts a new sheet into force", self._grow),
+            (8.0, "a balancer is killed", lambda: self.system.kill_balancer("b1")),
+            (10.0, "a balancer joins", self._join),
+            (12.0, "an upstream is drained", self._drain),
+            (15.0, "a weight changes", self._reweigh),
+            (17.0, "the platform goes down", lambda: self._outage(True)),
+            (17.0 + OUTAGE_S, "the platform is back", lambda: self._outage(False)),
+            (21.0, "the federation puts a new sheet into force", self._restore),
+            (24.0, "traffic stops", self._stop_traffic),
+        ]
+
+    def run(self) -> None:
+        """Schedules all events."""
+        for at, text, event in self.timeline():
+            self.clock.callLater(at, self._event, text, event)
+
+    def _event(self, text: str, event: Callable[[], None]) -> None:
+        self.say(f"{self.clock.seconds() - self.started_at:5.1f} s  {text}")
+        try:
+            event()
+        except Exception as error:
+            self.failures.append(f"{text}: {error!r}")
+
+    def _start(self) -> None:
+        self.system.start_platform()
+        for service in self._services():
+            if service.protocol in TRAFFIC:
+                self.system.add_service(service)
+            else:
+                self.say(f"         no traffic: {service.service_id}")
+        for name, zone in zip(BALANCERS[:-1], self.zones, strict=False):
+            self.system.add_balancer(name, zone=zone)
+
+    def _sheets(self) -> None:
+        for partner_id in self.sheets:
+            self.writers[partner_id] = SheetWriter(
+                partner_id=partner_id,
+                client=self.system.operator_client(partner_id),
+                clock=self.clock,
+                in_force=self.system.in_force,
+            )
+            self._write(partner_id)
+
+    def _write(self, partner_id: PartnerId) -> None:
+        services = self.sheets[partner_id].values()
+        call = self.writers[partner_id].write(services)
+        call.addErrback(lambda failure: self.failures.append(failure.getErrorMessage()))
+
+    def _traffic(self) -> None:
+        for service in self._services():
+            if service.protocol in TRAFFIC:
+                source = random.Random(f"{self.seed}/{service.service_id}")
+                make = TRAFFIC[service.protocol]
+                self.traffic.append(make(self.environment, service, source))
+        for item in self.traffic:
+            item.start()
+
+    def _services(self) -> list[ServiceConfig]:
+        return [item for sheet in self.sheets.values() for item in sheet.values()]
+
+    def _grow(self) -> None:
+        """Adds an upstream to a service of the studio."""
+        service = self.sheets[PartnerId("studio")][ServiceId("studio/frame-vault")]
+        spec = msgspec.structs.replace(
+            service.upstreams[0], upstream_id=UpstreamId("frame-vault-new")
+        )
+        self._change(service, upstreams=(*service.upstreams, spec))
+        self.system.add_upstream(service, spec)
+
+    def _join(self) -> None:
+        self.system.add_balancer(BALANCERS[-1], zone=self.zones[-1])
+
+    def _drain(self) -> None:
+        upstream_id = self._federation_service().upstreams[0].upstream_id
+        self.system.drain_agent(upstream_id, notice_s=DRAIN_NOTICE_S)
+
+    def _reweigh(self) -> None:
+        service = self._federation_service()
+        heavy = msgspec.structs.replace(service.upstreams[1], weight=2.0)
+        upstreams = (service.upstreams[0], heavy, *service.upstreams[2:])
+        self._change(service, upstreams=upstreams)
+
+    def _restore(self) -> None:
+        """Takes the drained upstream out of the sheet."""
+        service = self._federation_service()
+        self._change(service, upstreams=service.upstreams[1:])
+
+    def _federation_service(self) -> ServiceConfig:
+        return self.sheets[PartnerId("federation")][CHANGED_SERVICE]
+
+    def _change(self, service: ServiceConfig, **fields: Any) -> None:
+        changed = msgspec.structs.replace(service, **fields)
+        self.sheets[service.partner_id][service.service_id] = changed
+        self._write(service.partner_id)
+
+    def _outage(self, outage: bool) -> None:
+        self.system.platform.set_faults(Faults(outage=outage))
+
+    def _stop_traffic(self) -> None:
+        for item in self.traffic:
+            item.stop()
+        self._wait(self.clock.seconds() + END_LIMIT_S)
+
+    def _wait(self, limit: float) -> None:
+        """Ends the run when no work is open and all sheets are in force."""
+        pending = sum(writer.pending for writer in self.writers.values())
+        ended = all(item.ended() for item in self.traffic) and pending == 0
+        if not ended and self.clock.seconds() < limit:
+            self.clock.callLater(0.1, self._wait, limit)
+            return
+        if not ended:
+            self.failures.append("work or sheets were still open at the end")
+        self.system.stop()
+        self.finish(self.result())
+
+    def result(self) -> dict[str, Any]:
+        """Returns what the run counted."""
+        counts = totals(self.traffic)
+        in_force = [
+            seconds for item in self.writers.values() for seconds in item.in_force_s
+        ]
+        ledger = self.system.ledger
+        return {
+            "seed": self.seed,
+            "requests": counts["requests"],
+            "answered": counts["answered"],
+            "refused_not_run": counts["refused_not_run"],
+            "unknown": counts["unknown"],
+            "wrong_answer": counts["wrong_answer"],
+            "ran_twice": ledger.ran_twice(),
+            "flows": counts["flows"],
+            "broken_flows": counts["broken_flows"],
+            "flows_lost_with_balancer": counts["flows_lost_with_balancer"],
+            "wrong_service": ledger.wrong_service + ledger.unrecognised,
+            "generations": len(in_force),
+            "generation_in_force_s": round(max(in_force, default=0.0), 3),
+            "failures": self.failures,
+        }
--- /dev/null
+++ b/src/bramleydyke/demo/system.py
@@ -0,0 +1,222 @@
+"""All nodes and stand-ins of the demo in one reactor."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from bramleydyke.adapters.platform_client import PlatformClient
+from bramleydyke.core.config import ServiceConfig, UpstreamSpec
+from bramleydyke.daemons.agent import AgentNode
+from bramleydyke.daemons.balancer import BalancerNode
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.daemons.node import Node
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.settings import (
+    AgentSettings,
+    BalancerSettings,
+    Edge,
+    PlatformAccess,
+    PlatformSettings,
+    Seed,
+)
+from bramleydyke.standins.fabric import Fabric
+from bramleydyke.standins.ledger import Ledger
+from bramleydyke.standins.platform import PlatformServer
+from bramleydyke.standins.upstream import Behaviour, Upstream, UpstreamServer
+from bramleydyke.types import AvailabilityZone, Generation, PartnerId, UpstreamId
+
+NODE_CREDENTIAL = "node-demo"
+CONTROL_CREDENTIAL = "control-demo"
+
+
+def credential_of(partner_id: PartnerId) -> str:
+    """Returns the credential of a partner in the demo."""
+    return f"{partner_id}-demo"
+
+
+class System:
+    """The system and its surroundings.
+
+    Attributes:
+        balancers: Running balancers by name.
+        agents: Running agents by upstream.
+        upstreams: Upstream stand-ins, which outlive their agents.
+        ledger: What ran at the upstreams.
+        retired: Nodes that were stopped or killed, with their counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        environment: Environment,
+        seed: int,
+        partners: Iterable[PartnerId],
+        balancer_names: Iterable[str],
+    ) -> None:
+        """Prepares the system; nothing listens yet.
+
+        Args:
+            environment: Reactor, clock and zmq context.
+            seed: Seed of all random choices.
+            partners: All partners.
+            balancer_names: Balancers that run now or join later. Agents
+                announce themselves to all of them.
+        """
+        self.environment = environment
+        self.seed = seed
+        self.partners = list(partners)
+        self.control = {name: free_endpoint() for name in balancer_names}
+        self.platform_endpoint = free_endpoint()
+        self.services: dict[str, ServiceConfig] = {}
+        self.balancers: dict[str, BalancerNode] = {}
+        self.agents: dict[UpstreamId, AgentNode] = {}
+        self.upstreams: dict[UpstreamId, UpstreamServer] = {}
+        self.retired: list[Node] = []
+        self.ledger = Ledger()
+        self.fabric = Fabric(
+            reactor=environment.reactor,
+            random_source=random.Random(f"{seed}/fabric"),
+        )
+        self.platform = PlatformServer(
+            self._platform_settings(), environment=environment
+        )
+
+    def start_platform(self) -> None:
+        """Opens the object API."""
+        self.platform.start()
+
+    def add_service(self, service: ServiceConfig) -> None:
+        """Opens a service's address and starts its upstreams and agents."""
+        self.services[service.addresses[0]] = service
+        self.fabric.listen_tcp(service.addresses[0])
+        for spec in service.upstreams:
+            self.add_upstream(service, spec)
+
+    def add_upstream(self, service: ServiceConfig, spec: UpstreamSpec) -> None:
+        """Starts an upstream and the agent beside it."""
+        listen = free_endpoint()
+        upstream = Upstream(
+            service_id=service.service_id,
+            behaviour=Behaviour(slots=spec.slots),
+            ledger=self.ledger,
+            clock=self.environment.clock,
+            random_source=random.Random(f"{self.seed}/{spec.upstream_id}"),
+        )
+        self.upstreams[spec.upstream_id] = UpstreamServer(
+            upstream, reactor=self.environment.reactor, listen=listen
+        )
+        settings = self._agent_settings(service, spec, listen)
+        agent = AgentNode(settings, environment=self.environment)
+        self.agents[spec.upstream_id] = agent
+        agent.start()
+
+    def add_balancer(self, name: str, *, zone: AvailabilityZone) -> None:
+        """Starts a balancer; the fabric sends it traffic from now on."""
+        edges = tuple(
+            Edge(address=address, listen=free_endpoint(), protocol=service.protocol)
+            for address, service in self.services.items()
+        )
+        settings = BalancerSettings(
+            name=name,
+            zone=zone,
+            listen=self.control[name],
+            platform=self._access(NODE_CREDENTIAL),
+            partners=tuple(self.partners),
+            edges=edges,
+            random_seed=self.seed,
+        )
+        balancer = BalancerNode(settings, environment=self.environment)
+        self.balancers[name] = balancer
+        balancer.start()
+        for edge in edges:
+            self.fabric.targets.setdefault(edge.address, []).append(edge.listen)
+
+    def kill_balancer(self, name: str) -> None:
+        """Stops a balancer as a crash does; the fabric is not told."""
+        balancer = self.balancers.pop(name)
+        self.retired.append(balancer)
+        balancer.stop(abrupt=True)
+
+    def drain_agent(self, upstream_id: UpstreamId, *, notice_s: float) -> None:
+        """Drains an agent; it stops when its last request has ended."""
+        agent = self.agents[upstream_id]
+        agent.drain()
+        self.environment.clock.callLater(notice_s, self._stop_if_idle, upstream_id)
+
+    def in_force(self, partner_id: PartnerId, generation: Generation) -> bool:
+        """Tells whether every node has a partner's generation."""
+        configs = [node.facade.config for node in self.balancers.values()]
+        configs += [
+            node.agent.config
+            for node in self.agents.values()
+            if node.agent.announcement.partner_id == partner_id
+        ]
+        return all(item.generation(partner_id) >= generation for item in configs)
+
+    def operator_client(self, partner_id: PartnerId) -> PlatformClient:
+        """Returns a partner's own access to the platform."""
+        return PlatformClient(
+            reactor=self.environment.reactor,
+            clock=self.environment.clock,
+            base_url=f"http://{self.platform_endpoint}",
+            credential=credential_of(partner_id),
+            deliver=lambda *_: None,
+        )
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self.fabric.stop()
+        for node in [*self.balancers.values(), *self.agents.values()]:
+            self.retired.append(node)
+            node.stop()
+        for upstream in self.upstreams.values():
+            upstream.stop()
+        self.platform.stop()
+        self.balancers.clear()
+        self.agents.clear()
+
+    def _stop_if_idle(self, upstream_id: UpstreamId) -> None:
+        agent = self.agents.get(upstream_id)
+        if agent is None:
+            return
+        if agent.idle():
+            self.retired.append(self.agents.pop(upstream_id))
+            agent.stop()
+        else:
+            self.environment.clock.callLater(0.1, self._stop_if_idle, upstream_id)
+
+    def _access(self, credential: str) -> PlatformAccess:
+        return PlatformAccess(
+            url=f"http://{self.platform_endpoint}", credential=credential
+        )
+
+    def _agent_settings(
+        self, service: ServiceConfig, spec: UpstreamSpec, upstream: str
+    ) -> AgentSettings:
+        credential = credential_of(service.partner_id)
+        return AgentSettings(
+            service=service.service_id,
+            upstream=spec.upstream_id,
+            zone=spec.zone,
+            listen=free_endpoint(),
+            upstream_url=f"http://{upstream}",
+            slots=spec.slots,
+            credential=credential,
+            platform=self._access(credential),
+            seeds=tuple(
+                Seed(node_id=f"balancer/{name}", endpoint=endpoint)
+                for name, endpoint in self.control.items()
+            ),
+            random_seed=self.seed,
+        )
+
+    def _platform_settings(self) -> PlatformSettings:
+        return PlatformSettings(
+            listen=self.platform_endpoint,
+            partner_credentials={
+                partner: credential_of(partner) for partner in self.partners
+            },
+            node_credential=NODE_CREDENTIAL,
+            control_credential=CONTROL_CREDENTIAL,
+        )
