Test the path over real sockets; count callers' bytes that are not HTTP

Cause: bytes at the HTTP edge that are no request were refused by twisted without a count, and only hand-run commands covered the whole path.

Change: the edge counts such bytes and malformed terms as bad_request. Tests run the fabric, two balancers, agents and upstreams in one reactor: a balancer that dies under a keyed request, drains, sheds, a dead agent, a platform outage, a forged sheet, and noise from callers (hypothesis, fixed examples).

Conclusion: a repeated key after the death of a balancer ran once.

--- a/src/bramleydyke/adapters/http_edge.py
+++ b/src/bramleydyke/adapters/http_edge.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from returns.result import Failure, Success
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
@@ -46,6 +47,9 @@
 RETRY_AFTER_S = 1
 """Pause that refused callers are asked for; rounded up to whole seconds."""
 
+_NOT_HTTP = b"HTTP/1.1 400 "
+"""What twisted itself answers to bytes that are not a request."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Terms:
@@ -99,6 +103,32 @@
         """Writes nothing: counters and JSON lines tell of requests."""
 
 
+class _Connection(ProtocolWrapper):
+    """A caller's connection, which counts bytes that are not HTTP."""
+
+    def write(self, data: bytes) -> None:
+        if data.startswith(_NOT_HTTP):
+            self.factory.wrappedFactory.count(counter_name(ErrorKind.BAD_REQUEST))
+        super().write(data)
+
+
+class EdgeConnections(WrappingFactory):
+    """All connections of one site."""
+
+    noisy = False
+    protocol = _Connection
+
+    def break_all(self) -> None:
+        """Breaks all connections, as a crash does."""
+        for connection in list(self.protocols):
+            connection.transport.abortConnection()
+
+    def close_all(self) -> None:
+        """Closes all connections once what was written has left."""
+        for connection in list(self.protocols):
+            connection.transport.loseConnection()
+
+
 class CallerPort:
     """Callers that wait for an answer at one balancer.
 
@@ -114,16 +144,16 @@
         self.waiting: dict[int, Request] = {}
         self._numbers = itertools.count(1)
 
-    def site(self, address: ServiceAddress, *, reactor: Any) -> EdgeSite:
-        """Returns the site that takes requests for a service address."""
-        return EdgeSite(
-            _ServiceResource(self, address), reactor=reactor, count=self.count
-        )
+    def connections(self, address: ServiceAddress, *, reactor: Any) -> EdgeConnections:
+        """Returns what takes connections for a service address."""
+        resource = _ServiceResource(self, address)
+        return EdgeConnections(EdgeSite(resource, reactor=reactor, count=self.count))
 
     def arrived(self, request: Request, address: ServiceAddress) -> None:
         """Hands a caller's request to the balancer."""
         terms = _terms(request)
         if terms is None:
+            self.count(counter_name(ErrorKind.BAD_REQUEST))
             self._refuse(request, ErrorKind.BAD_REQUEST)
             return
         number = next(self._numbers)
--- a/src/bramleydyke/daemons/balancer.py
+++ b/src/bramleydyke/daemons/balancer.py
@@ -5,10 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.protocols.policies import WrappingFactory
-
 from bramleydyke.adapters.codec import parse_endpoint
-from bramleydyke.adapters.http_edge import CallerPort
+from bramleydyke.adapters.http_edge import CallerPort, EdgeConnections
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.daemons.environment import Environment, new_incarnation
 from bramleydyke.daemons.node import Node, random_source
@@ -42,7 +40,7 @@
             deliver=self.runner.from_port, count=self.metrics.count
         )
         self.runner.ports[LOCAL_CALLER] = self.callers.take
-        self.factories: list[WrappingFactory] = []
+        self.factories: list[EdgeConnections] = []
         self.listeners: list[Any] = []
 
     def start(self) -> None:
@@ -66,18 +64,15 @@
         self._close_listeners()
         super().stop(**({"linger_ms": 0} if abrupt else {}))
         for factory in self.factories:
-            for connection in list(factory.protocols):
-                if abrupt:
-                    connection.transport.abortConnection()
-                else:
-                    connection.transport.loseConnection()
+            if abrupt:
+                factory.break_all()
+            else:
+                factory.close_all()
 
     def listen_http(self, edge: Edge) -> None:
         """Opens the edge of an HTTP service."""
         reactor = self.environment.reactor
-        site = self.callers.site(service_address(edge), reactor=reactor)
-        factory = WrappingFactory(site)
-        factory.noisy = False
+        factory = self.callers.connections(service_address(edge), reactor=reactor)
         address = parse_endpoint(edge.listen)
         assert address is not None, edge.listen
         self.factories.append(factory)
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -4,11 +4,13 @@
 
 import io
 import random
+import socket
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
 from reactor_harness import environment, reactor, result_of, spin
 from twisted.internet.protocol import Factory, Protocol
 from twisted.web.client import FileBodyProducer
@@ -61,8 +63,8 @@
             deliver=lambda _, message: self.got.append(message),
             count=self.metrics.count,
         )
-        site = self.port.site(ADDRESS, reactor=reactor)
-        self.listener = reactor.listenTCP(0, site, interface=HOST)
+        factory = self.port.connections(ADDRESS, reactor=reactor)
+        self.listener = reactor.listenTCP(0, factory, interface=HOST)
         self.url = f"http://{HOST}:{self.listener.getHost().port}/x?y=1".encode()
         self.results: list[Any] = []
 
@@ -184,6 +186,51 @@
     assert edge.got == []
 
 
+NOISE = st.one_of(
+    st.binary(min_size=1, max_size=200),
+    st.binary(max_size=50).map(lambda tail: b"POST / HTTP/1.1\r\nHost: " + tail),
+    st.binary(max_size=50).map(
+        lambda tail: b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + tail
+    ),
+)
+"""Random bytes, and beginnings of requests that go wrong."""
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(noise=NOISE)
+def test_noise_does_not_stop_the_edge(edge: Edge, noise: bytes) -> None:
+    """Guards against bytes of one caller that end the service of others."""
+    address = edge.listener.getHost()
+    with socket.create_connection((address.host, address.port)) as caller:
+        caller.sendall(noise)
+        edge.got.clear()
+        edge.call(b"GET")
+        spin(lambda: any(b"GET" in item.payload for item in arrivals(edge)))
+        for item in arrivals(edge):
+            edge.port.take(RefuseCaller(caller=item.caller, kind=ErrorKind.BUSY))
+        assert edge.response()[0] == 503
+
+
+def arrivals(edge: Edge) -> list[RequestArrived]:
+    return [item for item in edge.got if isinstance(item, RequestArrived)]
+
+
+@pytest.mark.parametrize(
+    "noise", [b"\0\1\2\r\n\r\n", b"GET / HTTP/1.1\r\nno colon\r\n\r\n"]
+)
+def test_bytes_that_are_not_http_are_counted(edge: Edge, noise: bytes) -> None:
+    """Guards against hostile callers that nobody sees."""
+    address = edge.listener.getHost()
+    with socket.create_connection((address.host, address.port)) as caller:
+        caller.sendall(noise)
+        spin(lambda: edge.metrics.counts["refused.bad_request"] == 1)
+
+
 def test_headers_named_by_connection_stay_behind() -> None:
     """Guards against headers of one connection that reach the next."""
     headers = [(b"Connection", [b"close, X-Hop"]), (b"X-Hop", [b"1"]), (b"A", [b"2"])]
--- /dev/null
+++ b/tests/adapters/test_path.py
@@ -0,0 +1,251 @@
+"""The whole path over real sockets: fabric, balancers, agents, upstreams."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import pytest
+from reactor_harness import environment, reactor, result_of, spin
+from twisted.web.client import FileBodyProducer
+from twisted.web.http_headers import Headers
+
+from bramleydyke.adapters.http_bodies import new_agent, read_body
+from bramleydyke.constants import FIRST_ATTEMPT_VALID_S
+from bramleydyke.core.config import ServiceConfig, UpstreamSpec
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.demo.sheets import SheetWriter
+from bramleydyke.demo.system import System
+from bramleydyke.standins.ledger import Work
+from bramleydyke.standins.platform import Faults
+from bramleydyke.types import (
+    AvailabilityZone,
+    MemberState,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+)
+
+ZONE = AvailabilityZone("fes")
+PARTNERS = [PartnerId("federation"), PartnerId("studio")]
+SEED = 7
+
+
+def service_of(partner: PartnerId, upstreams: int) -> ServiceConfig:
+    return ServiceConfig(
+        service_id=ServiceId(f"{partner}/s"),
+        partner_id=partner,
+        protocol=Protocol.HTTP,
+        addresses=(ServiceAddress(free_endpoint()),),
+        upstreams=tuple(
+            UpstreamSpec(UpstreamId(f"{partner}-{n}"), ZONE) for n in range(upstreams)
+        ),
+    )
+
+
+class Place:
+    """A running system with one service of each partner."""
+
+    def __init__(self, upstreams: int) -> None:
+        self.env = environment()
+        self.system = System(
+            environment=self.env,
+            seed=SEED,
+            partners=PARTNERS,
+            balancer_names=("b1", "b2"),
+        )
+        self.system.start_platform()
+        self.services = [service_of(partner, upstreams) for partner in PARTNERS]
+        for service in self.services:
+            self.system.services[service.addresses[0]] = service
+        for name in ("b1", "b2"):
+            self.system.add_balancer(name, zone=ZONE)
+        for service in self.services:
+            self.system.add_service(service)
+        self.writers = [self.writer(partner) for partner in PARTNERS]
+        for writer, service in zip(self.writers, self.services, strict=True):
+            writer.write([service])
+        spin(self.ready)
+
+    def writer(self, partner: PartnerId) -> SheetWriter:
+        return SheetWriter(
+            partner_id=partner,
+            client=self.system.operator_client(partner),
+            clock=self.env.clock,
+            in_force=self.system.in_force,
+        )
+
+    def ready(self) -> bool:
+        """Tells whether all balancers know all agents and sheets."""
+        known = [
+            len(
+                list(
+                    node.facade.members.upstreams(item.service_id, MemberState.RUNNING)
+                )
+            )
+            for node in self.system.balancers.values()
+            for item in self.services
+        ]
+        wanted = [len(item.upstreams) for item in self.services] * 2
+        return known == wanted and not any(item.pending for item in self.writers)
+
+    def call(
+        self, work_id: str, *, service: int = 0, method: bytes = b"POST", **headers: str
+    ) -> list[Any]:
+        """Sends work; the list gets status, outcome and body."""
+        config = self.services[service]
+        work = Work(work_id, config.service_id, idempotent=method == b"PUT")
+        names = {name.replace("_", "-").encode(): [v] for name, v in headers.items()}
+        results: list[Any] = []
+        call = new_agent(reactor).request(
+            method,
+            f"http://{config.addresses[0]}/work".encode(),
+            Headers(names),
+            FileBodyProducer(io.BytesIO(msgspec.json.encode(work))),
+        )
+        call.addCallback(_whole).addBoth(results.append)
+        return results
+
+    def answer(self, work_id: str, **options: Any) -> Any:
+        results = self.call(work_id, **options)
+        spin(lambda: results)
+        return results[0]
+
+    def behave(self, **fields: Any) -> None:
+        """Changes the behaviour of all upstreams."""
+        for server in self.system.upstreams.values():
+            for name, value in fields.items():
+                setattr(server.upstream.behaviour, name, value)
+
+    def running(self) -> list[UpstreamId]:
+        return [
+            name
+            for name, server in self.system.upstreams.items()
+            if server.upstream.running
+        ]
+
+
+def _whole(response: Any) -> Any:
+    outcome = response.headers.getRawHeaders(b"Bramleydyke-Outcome", [b""])[0]
+    body = read_body(response, limit=10_000)
+    return body.addCallback(lambda data: (response.code, outcome, data))
+
+
+@pytest.fixture()
+def place(request: pytest.FixtureRequest) -> Iterator[Place]:
+    started = Place(getattr(request, "param", 3))
+    yield started
+    started.system.stop()
+    spin(lambda: not started.system.agents)
+
+
+def test_every_caller_gets_its_own_answer(place: Place) -> None:
+    """Guards against answers that cross, are lost, or reach others."""
+    place.behave(service_time_s=0.005)
+    open_calls = {
+        (service, number): place.call(f"{service}/{number}", service=service)
+        for service in (0, 1)
+        for number in range(15)
+    }
+    spin(lambda: all(open_calls.values()))
+    for (service, number), results in open_calls.items():
+        status, _, body = results[0]
+        assert status == 200
+        assert msgspec.json.decode(body)["id"] == f"{service}/{number}"
+    assert place.system.ledger.ran_twice() == 0
+    assert place.system.ledger.wrong_service == 0
+    assert len(place.system.fabric.passed) == 4
+
+
+def test_repeated_key_after_a_dead_balancer_runs_once(place: Place) -> None:
+    """Guards against a doubled order when a balancer dies (H5)."""
+    place.behave(service_time_s=5.0)
+    first = place.call("order", Idempotency_Key="k", Request_Attempt="0")
+    spin(place.running)
+    for server in place.system.upstreams.values():
+        for job in server.upstream.running:
+            job.ends.reset(FIRST_ATTEMPT_VALID_S + 1.0)
+    holder = next(
+        name for name, node in place.system.balancers.items() if node.callers.waiting
+    )
+    place.system.kill_balancer(holder)
+    spin(lambda: first)
+    assert not isinstance(first[0], tuple)
+    status, _, body = place.answer("order", Idempotency_Key="k", Request_Attempt="1")
+    assert (status, msgspec.json.decode(body)["id"]) == (200, "order")
+    assert place.system.ledger.runs == {"order": 1}
+
+
+def test_drain_lets_the_request_end_and_moves_new_work(place: Place) -> None:
+    """Guards against a planned stop that breaks a request (H6, H7)."""
+    place.behave(service_time_s=0.3)
+    open_call = place.call("old")
+    spin(place.running)
+    leaving = place.running()[0]
+    place.system.drain_agent(leaving, notice_s=0.0)
+    for number in range(4):
+        assert place.answer(f"new-{number}")[0] == 200
+    spin(lambda: open_call)
+    assert open_call[0][0] == 200
+    spin(lambda: leaving not in place.system.agents)
+    assert place.system.upstreams[leaving].upstream.counts["done"] == 1
+
+
+def test_traffic_goes_on_without_the_platform(place: Place) -> None:
+    """Guards against requests that depend on the store."""
+    place.system.platform.set_faults(Faults(outage=True))
+    assert place.answer("a")[0] == 200
+    place.system.platform.stop()
+    assert place.answer("b")[0] == 200
+
+
+@pytest.mark.parametrize("place", [2], indirect=True)
+def test_shed_request_moves_to_another_upstream(place: Place) -> None:
+    """Guards against an upstream's refusal that reaches the caller."""
+    first = place.services[0].upstreams[0].upstream_id
+    place.system.upstreams[first].upstream.behaviour.draining = True
+    for number in range(6):
+        assert place.answer(f"work-{number}")[0] == 200
+    assert place.system.ledger.ran_twice() == 0
+
+
+def test_refusal_by_all_upstreams_is_not_run(place: Place) -> None:
+    """Guards against a refusal whose outcome is told wrongly (H4)."""
+    place.behave(draining=True)
+    status, outcome, _ = place.answer("work", Request_Timeout="0.5")
+    assert (status, outcome) == (503, b"not-run")
+    assert not place.system.ledger.runs
+
+
+def test_broken_upstream_is_unknown_unless_idempotent(place: Place) -> None:
+    """Guards against a second run of what must not run twice (H4, H5)."""
+    place.behave(break_share=1.0)
+    assert place.answer("order")[:2] == (502, b"unknown")
+    assert place.system.ledger.runs == {"order": 1}
+    place.behave(break_share=0.0)
+    assert place.answer("read", method=b"PUT")[0] == 200
+
+
+def test_dead_agent_leaves_the_outcome_unknown(place: Place) -> None:
+    """Guards against a request told as not run because its agent died."""
+    place.behave(service_time_s=30.0)
+    open_call = place.call("order", Request_Timeout="0.8")
+    spin(place.running)
+    agent = place.system.agents.pop(place.running()[0])
+    agent.stop(abrupt=True)
+    spin(lambda: open_call)
+    assert open_call[0][:2] == (504, b"unknown")
+    assert place.system.ledger.runs == {"order": 1}
+
+
+def test_partner_cannot_change_the_others_service(place: Place) -> None:
+    """Guards against one partner that disturbs the other's traffic."""
+    studio, federation = place.writers[1], place.services[0]
+    forged = msgspec.structs.replace(federation, upstreams=())
+    result_of(studio.write([place.services[1], forged]))
+    spin(lambda: not studio.pending)
+    assert place.answer("order")[0] == 200
