Choose edges and upstream ports by protocol; refuse what cannot start

Cause: a program whose port was taken ended with exit code 0; settings let UDP and TCP through, which no adapter carries yet; answers had two Date and two Server headers.

Change: programs listen before the reactor runs and end with code 3 and one line if they cannot. Edges, upstream ports and the fabric are looked up by protocol, and settings refuse the others; agents' `upstream_url` becomes `upstream_address`. The upstream's Date and Server replace the edge's. A test starts the programs as processes and ends them by signals; another answers the platform client with noise.

Conclusion: UDP and TCP need an entry in SUPPORTED, LISTEN, UPSTREAM_PORTS and TRAFFIC.

--- a/src/bramleydyke/adapters/http_edge.py
+++ b/src/bramleydyke/adapters/http_edge.py
@@ -21,6 +21,7 @@
     pack,
     unpack_answer,
 )
+from bramleydyke.adapters.logs import logger
 from bramleydyke.constants import REQUEST_TIMEOUT_S
 from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
 from bramleydyke.messages import (
@@ -140,6 +141,7 @@
     def __init__(self, *, deliver: Deliver, count: Counter) -> None:
         self.deliver = deliver
         self.count = count
+        self.log = logger("callers")
         self.draining = False
         self.waiting: dict[int, Request] = {}
         self._numbers = itertools.count(1)
@@ -192,12 +194,16 @@
 
     def _answer(self, request: Request, answer: HttpAnswer) -> None:
         request.setResponseCode(answer.status)
+        for name in {name.lower() for name, _ in answer.headers}:
+            # The upstream's Date and Server replace those of this edge.
+            request.responseHeaders.removeHeader(name)
         for name, value in answer.headers:
             request.responseHeaders.addRawHeader(name, value)
         self._finish(request, answer.body)
 
     def _refuse(self, request: Request, kind: ErrorKind) -> None:
         answer = ANSWERS[kind]
+        self.log.debug("refused", extra=_ids(request) | {"kind": kind.value})
         request.setResponseCode(answer.http_status)
         request.setHeader(b"Bramleydyke-Outcome", answer.outcome.value.encode())
         request.setHeader(b"Content-Type", b"application/json")
@@ -232,6 +238,16 @@
         return NOT_DONE_YET
 
 
+def _ids(request: Request) -> dict[str, str]:
+    """Returns what tells a request in the log."""
+    key = request.getHeader(b"Idempotency-Key") or b""
+    return {
+        "request": key.decode("latin-1"),
+        "path": request.uri.decode("latin-1"),
+        "caller": str(request.getClientAddress().host),
+    }
+
+
 def _http_request(request: Request) -> HttpRequest:
     return HttpRequest(
         method=request.method,
--- a/src/bramleydyke/adapters/http_upstream.py
+++ b/src/bramleydyke/adapters/http_upstream.py
@@ -25,6 +25,7 @@
     pack,
     unpack_request,
 )
+from bramleydyke.adapters.logs import logger
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.messages import (
     Payload,
@@ -55,6 +56,7 @@
         self.deliver = deliver
         self.count = count
         self.agent = new_agent(reactor)
+        self.log = logger("upstream")
         self.running: dict[RequestId, Deferred[Any]] = {}
 
     def take(self, payload: Payload) -> None:
@@ -115,6 +117,8 @@
         if failure.check(BodyTooLargeError):
             self.count(counter_name(ErrorKind.FRAME_TOO_LARGE))
         self.count("upstream.broken")
+        extra = {"request": request_id, "error": failure.type.__name__}
+        self.log.warning("upstream broke after sending", extra=extra)
         return RequestFailed(request_id=request_id)
 
     def _ended(
--- a/src/bramleydyke/adapters/links.py
+++ b/src/bramleydyke/adapters/links.py
@@ -119,12 +119,19 @@
         self.closed = False
         self.router = context.socket(zmq.ROUTER)
         self.router.set(zmq.MAXMSGSIZE, MAX_FRAME_BYTES + OVERSIZE_MARGIN_BYTES)
-        self.router.bind(f"tcp://{endpoint}")
+        self._bind(endpoint)
         self._watched = _Watched(self.router, self._read)
         reactor.addReader(self._watched)
         self._sweeper = clock.callLater(SWEEP_S, self._sweep)
         clock.callLater(0, self._read)
 
+    def _bind(self, endpoint: str) -> None:
+        try:
+            self.router.bind(f"tcp://{endpoint}")
+        except zmq.ZMQError:
+            self.router.close(linger=0)
+            raise
+
     def send(self, endpoint: str, frame: bytes) -> None:
         """Sends a frame, or lets it wait while the node is unreachable."""
         if self.closed:
--- a/src/bramleydyke/cli/programs.py
+++ b/src/bramleydyke/cli/programs.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 import click
 
-from bramleydyke.cli.exits import load_or_fail
+from bramleydyke.cli.exits import Exit, fail, load_or_fail
 from bramleydyke.settings import AgentSettings, BalancerSettings, PlatformSettings
 
+SettingsType = TypeVar("SettingsType")
+
 _FILE = click.argument(
     "settings_file", type=click.Path(path_type=Path, exists=True, dir_okay=False)
 )
 
 
+def _run(
+    program: Callable[[SettingsType], None], settings: SettingsType, path: Path
+) -> None:
+    from bramleydyke.daemons.main import StartError
+
+    try:
+        program(settings)
+    except StartError as error:
+        fail(f"{path}: cannot start: {error}", Exit.REFUSED)
+
+
 @click.command()
 @_FILE
 def balancer(settings_file: Path) -> None:
@@ -24,9 +39,9 @@
     Example: bramleydyke balancer examples/local/balancer-1.json
     """
     settings = load_or_fail(settings_file, BalancerSettings)
-    from bramleydyke.daemons.main import run_balancer
+    from bramleydyke.daemons import main
 
-    run_balancer(settings)
+    _run(main.run_balancer, settings, settings_file)
 
 
 @click.command()
@@ -39,9 +54,9 @@
     Example: bramleydyke agent examples/local/agent-1.json
     """
     settings = load_or_fail(settings_file, AgentSettings)
-    from bramleydyke.daemons.main import run_agent
+    from bramleydyke.daemons import main
 
-    run_agent(settings)
+    _run(main.run_agent, settings, settings_file)
 
 
 @click.command()
@@ -52,9 +67,9 @@
     Example: bramleydyke platform examples/local/platform.json
     """
     settings = load_or_fail(settings_file, PlatformSettings)
-    from bramleydyke.daemons.main import run_platform
+    from bramleydyke.daemons import main
 
-    run_platform(settings)
+    _run(main.run_platform, settings, settings_file)
 
 
 @click.command()
--- a/src/bramleydyke/daemons/agent.py
+++ b/src/bramleydyke/daemons/agent.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Protocol as TypingProtocol
+
 from bramleydyke.adapters.http_upstream import HttpUpstream
 from bramleydyke.core.agent import Agent
 from bramleydyke.daemons.environment import Environment, new_incarnation
 from bramleydyke.daemons.node import Node, random_source
-from bramleydyke.messages import SetDrain
+from bramleydyke.messages import Payload, SetDrain
 from bramleydyke.settings import AgentSettings, seeds_of, zone_of
-from bramleydyke.types import LOCAL_UPSTREAM, NodeId, agent_node
+from bramleydyke.types import LOCAL_UPSTREAM, NodeId, Protocol, agent_node
 
 LOCAL_OPERATOR = NodeId("local/operator")
 """Port of the process's own signals."""
@@ -19,7 +22,7 @@
 
     Attributes:
         agent: The role.
-        upstream: Requests that run at the upstream.
+        upstream: Port towards the upstream.
     """
 
     def __init__(self, settings: AgentSettings, *, environment: Environment) -> None:
@@ -44,12 +47,7 @@
             environment=environment,
             partners=[settings.partner_id],
         )
-        self.upstream = HttpUpstream(
-            reactor=environment.reactor,
-            base_url=settings.upstream_url,
-            deliver=self.runner.from_port,
-            count=self.metrics.count,
-        )
+        self.upstream = UPSTREAM_PORTS[settings.protocol](self, settings)
         self.runner.ports[LOCAL_UPSTREAM] = self.upstream.take
 
     def drain(self) -> None:
@@ -67,3 +65,29 @@
             self.runner.pass_on(self.agent.stop())
         super().stop(**({"linger_ms": 0} if abrupt else {}))
         self.upstream.close()
+
+
+class UpstreamPort(TypingProtocol):
+    """The adapter between an agent and its upstream."""
+
+    def take(self, payload: Payload) -> None:
+        """Takes a message from the agent."""
+
+    def close(self) -> None:
+        """Breaks off everything at the upstream."""
+
+
+def http_upstream(node: AgentNode, settings: AgentSettings) -> UpstreamPort:
+    """Returns the port towards an HTTP upstream."""
+    return HttpUpstream(
+        reactor=node.environment.reactor,
+        base_url=f"http://{settings.upstream_address}",
+        deliver=node.runner.from_port,
+        count=node.metrics.count,
+    )
+
+
+UPSTREAM_PORTS: dict[Protocol, Callable[[AgentNode, AgentSettings], UpstreamPort]] = {
+    Protocol.HTTP: http_upstream
+}
+"""Makes the upstream port, by protocol; settings refuse all others."""
--- a/src/bramleydyke/daemons/balancer.py
+++ b/src/bramleydyke/daemons/balancer.py
@@ -89,4 +89,4 @@
 LISTEN: dict[Protocol, Callable[[BalancerNode, Edge], None]] = {
     Protocol.HTTP: BalancerNode.listen_http,
 }
-"""Opens an edge, by protocol; ``settings check`` refuses all others."""
+"""Opens an edge, by protocol; settings refuse all others."""
--- a/src/bramleydyke/daemons/main.py
+++ b/src/bramleydyke/daemons/main.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from bramleydyke.adapters.logs import json_handler, logger
+import zmq
+from twisted.internet.error import CannotListenError
+
+from bramleydyke.adapters.logs import json_handler
 from bramleydyke.daemons.agent import AgentNode
 from bramleydyke.daemons.balancer import BalancerNode
 from bramleydyke.daemons.environment import Environment, environment_of
@@ -18,6 +21,10 @@
 """Time between the last message and the end, for frames on their way out."""
 
 
+class StartError(Exception):
+    """A program cannot start; the text says why, in one line."""
+
+
 class _Runnable(Protocol):
     def start(self) -> None:
         """Starts to work."""
@@ -54,22 +61,16 @@
     reactor: Any = any_reactor
     with json_handler(level=log_level).applicationbound():
         environment = environment_of(reactor)
-        runnable = make(environment)
+        try:
+            runnable = make(environment)
+            runnable.start()
+        except (CannotListenError, zmq.ZMQError) as error:
+            raise StartError(str(error)) from error
         _end_on_signals(runnable, environment)
-        reactor.callWhenRunning(_start, runnable, reactor)
         reactor.run(installSignalHandlers=False)
     environment.context.destroy(linger=0)
 
 
-def _start(runnable: _Runnable, reactor: Any) -> None:
-    try:
-        runnable.start()
-    except Exception:
-        logger("main").exception("cannot start")
-        reactor.stop()
-        raise
-
-
 def _end_on_signals(runnable: _Runnable, environment: Environment) -> None:
     """Makes the first signal drain the program and the second one stop it."""
     reactor = environment.reactor
--- a/src/bramleydyke/demo/system.py
+++ b/src/bramleydyke/demo/system.py
@@ -89,7 +89,7 @@
     def add_service(self, service: ServiceConfig) -> None:
         """Opens a service's address and starts its upstreams and agents."""
         self.services[service.addresses[0]] = service
-        self.fabric.listen_tcp(service.addresses[0])
+        self.fabric.listen(service.addresses[0], service.protocol)
         for spec in service.upstreams:
             self.add_upstream(service, spec)
 
@@ -200,7 +200,8 @@
             upstream=spec.upstream_id,
             zone=spec.zone,
             listen=free_endpoint(),
-            upstream_url=f"http://{upstream}",
+            upstream_address=upstream,
+            protocol=service.protocol,
             slots=spec.slots,
             credential=credential,
             platform=self._access(credential),
--- a/src/bramleydyke/settings.py
+++ b/src/bramleydyke/settings.py
@@ -53,6 +53,17 @@
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
 
 
+SUPPORTED = frozenset({Protocol.HTTP})
+"""Protocols with an edge and an upstream port; extend it with them."""
+
+
+def _check_protocol(protocol: Protocol) -> None:
+    """Refuses a protocol that no adapter carries yet."""
+    if protocol not in SUPPORTED:
+        names = ", ".join(sorted(item.value for item in SUPPORTED))
+        raise ValueError(f"protocol is `{protocol.value}`, expected one of: {names}")
+
+
 class _Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of all settings: unknown fields are refused."""
 
@@ -79,6 +90,9 @@
     protocol: Protocol = Protocol.HTTP
     """Kind of traffic."""
 
+    def __post_init__(self) -> None:
+        _check_protocol(self.protocol)
+
 
 class PlatformAccess(_Settings, kw_only=True):
     """How a node reaches the platform's object API."""
@@ -137,15 +151,21 @@
     upstream: Name
     """The upstream's name in the sheet."""
 
-    upstream_url: HttpUrl
+    upstream_address: Endpoint
     """Where the upstream serves."""
 
+    protocol: Protocol = Protocol.HTTP
+    """Kind of traffic of the service."""
+
     credential: Credential
     """The partner's credential, which proves the announcement."""
 
     slots: Slots = 1
     """Requests that the upstream serves at the same time."""
 
+    def __post_init__(self) -> None:
+        _check_protocol(self.protocol)
+
     @property
     def partner_id(self) -> PartnerId:
         """The partner that owns the service."""
--- a/src/bramleydyke/standins/fabric.py
+++ b/src/bramleydyke/standins/fabric.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.types import Protocol as ServiceProtocol
 
 CONNECT_TIMEOUT_S = 1.0
 """Wait for a balancer before the next one is tried."""
@@ -37,6 +38,13 @@
     passed: dict[str, int] = field(default_factory=dict)
     ports: list[Any] = field(default_factory=list)
 
+    def listen(self, address: str, protocol: ServiceProtocol) -> None:
+        """Takes the traffic of a service address."""
+        if protocol is ServiceProtocol.UDP:
+            self.listen_udp(address)
+        else:
+            self.listen_tcp(address)
+
     def listen_tcp(self, address: str) -> None:
         """Takes connections to a service address."""
         factory = Factory.forProtocol(lambda: _Caller(self, address))
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -150,10 +150,11 @@
 def test_answer_passes_unchanged_but_for_the_connection(edge: Edge) -> None:
     """Guards against an answer that reaches its caller cut or changed."""
     edge.call()
-    payload = pack(HttpAnswer(201, ((b"X-Lot", b"7"),), b"a\0b"))
+    payload = pack(HttpAnswer(201, ((b"X-Lot", b"7"), (b"Server", b"up")), b"a\0b"))
     edge.port.take(AnswerCaller(caller=edge.arrived().caller, payload=payload))
     code, headers, body = edge.response()
     assert (code, body, headers.getRawHeaders("X-Lot")) == (201, b"a\0b", ["7"])
+    assert headers.getRawHeaders("Server") == ["up"]
 
 
 @pytest.mark.parametrize("kind", [ErrorKind.SHED, ErrorKind.AGENT_SILENT])
--- /dev/null
+++ b/tests/adapters/test_metrics.py
@@ -0,0 +1,35 @@
+"""Counters and logs as they leave the process."""
+
+from __future__ import annotations
+
+import io
+import socket
+
+import msgspec
+
+from bramleydyke.adapters.logs import json_handler, logger
+from bramleydyke.adapters.metrics import metrics_to
+from bramleydyke.messages import Count
+
+
+def test_counts_reach_statsd() -> None:
+    """Guards against a refusal that no dashboard shows."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(5.0)
+        host, port = server.getsockname()
+        metrics = metrics_to(f"{host}:{port}", prefix="balancer/b1")
+        metrics.take(Count(name="refused.busy", amount=2))
+        assert server.recv(100) == b"balancer.b1.refused.busy:2|c"
+    assert metrics.counts == {"refused.busy": 2}
+
+
+def test_log_line_is_json_with_its_ids() -> None:
+    """Guards against a log that cannot be searched by id."""
+    stream = io.StringIO()
+    with json_handler(stream).applicationbound():
+        logger("runner").warning("two\nlines", extra={"request": "r", "flow": 7})
+    line = msgspec.json.decode(stream.getvalue())
+    assert stream.getvalue().count("\n") == 1
+    assert (line["message"], line["request"], line["flow"]) == ("two\nlines", "r", 7)
+    assert (line["level"], line["channel"]) == ("warning", "runner")
--- a/tests/adapters/test_platform.py
+++ b/tests/adapters/test_platform.py
@@ -5,10 +5,12 @@
 from collections.abc import Iterator
 
 import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
 from reactor_harness import environment, reactor, result_of, spin
+from twisted.internet.protocol import Factory, Protocol
 
 from bramleydyke.adapters.platform_client import PlatformClient
-from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.demo.endpoints import HOST, free_endpoint
 from bramleydyke.messages import PlatformRead, PlatformReply, PlatformWrite
 from bramleydyke.settings import PlatformSettings
 from bramleydyke.standins.platform import Faults, PlatformServer
@@ -148,6 +150,50 @@
     assert reply.status is expected
 
 
+class Noise(Protocol):
+    """Answers each connection with given bytes."""
+
+    data = b""
+
+    def dataReceived(self, _: bytes) -> None:  # noqa: N802
+        self.transport.write(type(self).data)
+        self.transport.loseConnection()
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    head=st.sampled_from(
+        [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nVersion: 9\r\n\r\n"]
+    ),
+    tail=st.binary(max_size=100),
+)
+def test_noise_instead_of_replies_never_fails_the_client(
+    noisy: str, store: Store, head: bytes, tail: bytes
+) -> None:
+    """Guards against a reply that raises, and a write told as not done."""
+    Noise.data = head + tail
+    client = store.client(endpoint=noisy)
+    write = PlatformWrite(call=1, path=PATH, value=b"x", expected=0)
+    reply = result_of(client.call(write))
+    assert reply.status in (PlatformStatus.LOST, PlatformStatus.OK)
+    assert not client.calls
+
+
+@pytest.fixture()
+def noisy() -> Iterator[str]:
+    environment()
+    factory = Factory.forProtocol(Noise)
+    factory.noisy = False
+    port = reactor.listenTCP(0, factory, interface=HOST)
+    yield f"{HOST}:{port.getHost().port}"
+    port.stopListening()
+
+
 def test_value_over_the_bound_is_refused(store: Store) -> None:
     """Guards against a sheet that the platform cannot hold."""
     reply = store.write(b"x" * 1_000_001, 0)
--- /dev/null
+++ b/tests/adapters/test_processes.py
@@ -0,0 +1,167 @@
+"""Programs as separate processes, ended by signals."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from bramleydyke.core.config import (
+    PartnerConfig,
+    ServiceConfig,
+    UpstreamSpec,
+    next_config,
+)
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.types import (
+    AvailabilityZone,
+    PartnerId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+)
+
+SOURCES = Path(__file__).parents[2] / "src"
+ADDRESS = "127.0.0.1:9000"
+LIMIT_S = 20.0
+
+
+class Programs:
+    """Starts programs with settings in a directory; ends those left over."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.running: list[subprocess.Popen[bytes]] = []
+
+    def start(self, role: str, **settings: object) -> subprocess.Popen[bytes]:
+        path = self.directory / f"{role}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "bramleydyke.cli.main", role, str(path)],
+            env=os.environ | {"PYTHONPATH": str(SOURCES)},
+            stderr=subprocess.PIPE,
+        )
+        self.running.append(process)
+        return process
+
+
+@pytest.fixture()
+def programs(tmp_path: Path) -> Iterator[Programs]:
+    started = Programs(tmp_path)
+    yield started
+    for process in started.running:
+        if process.poll() is None:
+            process.kill()
+        process.communicate()
+
+
+def until(condition: Callable[[], bool]) -> None:
+    ends_at = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < ends_at, "condition did not hold in time"
+        time.sleep(0.05)
+
+
+def status_of(url: str, *, data: bytes | None = None, **headers: str) -> int:
+    """Returns the status of a GET, or of a PUT if there is data; 0 if none."""
+    names = {name.replace("_", "-"): value for name, value in headers.items()}
+    method = "GET" if data is None else "PUT"
+    call = urllib.request.Request(url, data=data, headers=names, method=method)
+    try:
+        with urllib.request.urlopen(call, timeout=5) as response:
+            return response.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    except OSError:
+        return 0
+
+
+def sheet() -> bytes:
+    service = ServiceConfig(
+        service_id=ServiceId("federation/s"),
+        partner_id=PartnerId("federation"),
+        protocol=Protocol.HTTP,
+        addresses=(ServiceAddress(ADDRESS),),
+        upstreams=(UpstreamSpec(UpstreamId("u"), AvailabilityZone("fes")),),
+    )
+    empty = PartnerConfig(PartnerId("federation"))
+    return msgspec.json.encode(next_config(empty, [service], change_id="test"))
+
+
+def test_programs_serve_drain_and_stop(programs: Programs) -> None:
+    """Guards against a program that does not start, serve or end.
+
+    The platform's own ``/control`` page, which any HTTP client can read, is
+    the upstream here.
+    """
+    store, control, edge = free_endpoint(), free_endpoint(), free_endpoint()
+    programs.start(
+        "platform",
+        listen=store,
+        partner_credentials={"federation": "fed"},
+        node_credential="node",
+        control_credential="control",
+    )
+    balancer = programs.start(
+        "balancer",
+        name="b1",
+        zone="fes",
+        listen=control,
+        platform={"url": f"http://{store}", "credential": "node"},
+        partners=["federation"],
+        edges=[{"address": ADDRESS, "listen": edge}],
+    )
+    agent = programs.start(
+        "agent",
+        zone="fes",
+        listen=free_endpoint(),
+        platform={"url": f"http://{store}", "credential": "fed"},
+        seeds=[{"node_id": "balancer/b1", "endpoint": control}],
+        service="federation/s",
+        upstream="u",
+        upstream_address=store,
+        credential="fed",
+    )
+    url = f"http://{store}/objects/sheets/federation"
+    write = {"Authorization": "Bearer fed", "If_Version": "0"}
+    until(lambda: status_of(url, data=sheet(), **write) in (200, 409))
+    page = f"http://{edge}/control"
+    read = {"Authorization": "Bearer control", "Request_Timeout": "1"}
+    until(lambda: status_of(page, **read) == 200)
+    agent.send_signal(signal.SIGTERM)
+    until(lambda: status_of(page, **read) == 503)
+    _, log = agent.communicate(timeout=LIMIT_S)
+    assert agent.returncode == 0
+    messages = [msgspec.json.decode(line)["message"] for line in log.splitlines()]
+    assert messages[-2:] == ["draining", "stopped"]
+    balancer.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    balancer.send_signal(signal.SIGTERM)
+    assert balancer.wait(timeout=LIMIT_S) == 0
+
+
+def test_taken_port_is_told_in_one_line(programs: Programs) -> None:
+    """Guards against a program that ends as if all were well."""
+    listen = free_endpoint()
+    settings = {
+        "listen": listen,
+        "partner_credentials": {},
+        "node_credential": "node",
+        "control_credential": "control",
+    }
+    programs.start("platform", **settings)
+    until(lambda: status_of(f"http://{listen}/control") == 403)
+    second = programs.start("platform", **settings)
+    _, errors = second.communicate(timeout=LIMIT_S)
+    assert second.returncode == 3
+    assert errors.count(b"\n") == 1 and listen.encode()[-5:] in errors
