Pass the length of HEAD answers; test the largest body on the whole path

Cause: a HEAD answer told the length of its empty body, and nothing showed that the largest body that the edge takes fits in a frame both ways.

Change: the upstream's Content-Length passes with HEAD answers. Two tests over fabric, balancer, agent and upstream.

Conclusion: bodies up to MAX_BODY_BYTES pass whole.

--- a/src/bramleydyke/adapters/http_edge.py
+++ b/src/bramleydyke/adapters/http_edge.py
@@ -219,7 +219,8 @@
     def _finish(self, request: Request, body: bytes) -> None:
         if self.draining:
             request.setHeader(b"Connection", b"close")
-        request.setHeader(b"Content-Length", str(len(body)).encode())
+        if request.method != b"HEAD":
+            request.setHeader(b"Content-Length", str(len(body)).encode())
         request.write(body)
         request.finish()
 
--- a/src/bramleydyke/adapters/http_upstream.py
+++ b/src/bramleydyke/adapters/http_upstream.py
@@ -105,6 +105,10 @@
 
     def _read(self, response: Any) -> Deferred[HttpAnswer]:
         headers = end_to_end(response.headers.getAllRawHeaders())
+        if response.request.method == b"HEAD":
+            # The length belongs to the body that GET would have.
+            lengths = response.headers.getRawHeaders(b"Content-Length", [])
+            headers += tuple((b"Content-Length", value) for value in lengths)
         body = read_body(response, limit=MAX_BODY_BYTES)
         return body.addCallback(
             lambda data: HttpAnswer(status=response.code, headers=headers, body=data)
--- a/tests/adapters/test_path.py
+++ b/tests/adapters/test_path.py
@@ -13,6 +13,7 @@
 from twisted.web.http_headers import Headers
 
 from bramleydyke.adapters.http_bodies import new_agent, read_body
+from bramleydyke.adapters.http_payload import MAX_BODY_BYTES
 from bramleydyke.constants import FIRST_ATTEMPT_VALID_S
 from bramleydyke.core.config import ServiceConfig, UpstreamSpec
 from bramleydyke.demo.endpoints import free_endpoint
@@ -94,7 +95,13 @@
         return known == wanted and not any(item.pending for item in self.writers)
 
     def call(
-        self, work_id: str, *, service: int = 0, method: bytes = b"POST", **headers: str
+        self,
+        work_id: str,
+        *,
+        service: int = 0,
+        method: bytes = b"POST",
+        padding: int = 0,
+        **headers: str,
     ) -> list[Any]:
         """Sends work; the list gets status, outcome and body."""
         config = self.services[service]
@@ -105,7 +112,7 @@
             method,
             f"http://{config.addresses[0]}/work".encode(),
             Headers(names),
-            FileBodyProducer(io.BytesIO(msgspec.json.encode(work))),
+            FileBodyProducer(io.BytesIO(msgspec.json.encode(work) + b" " * padding)),
         )
         call.addCallback(_whole).addBoth(results.append)
         return results
@@ -131,7 +138,7 @@
 
 def _whole(response: Any) -> Any:
     outcome = response.headers.getRawHeaders(b"Bramleydyke-Outcome", [b""])[0]
-    body = read_body(response, limit=10_000)
+    body = read_body(response, limit=2 * MAX_BODY_BYTES)
     return body.addCallback(lambda data: (response.code, outcome, data))
 
 
@@ -161,6 +168,25 @@
     assert len(place.system.fabric.passed) == 4
 
 
+def test_largest_body_passes_both_ways(place: Place) -> None:
+    """Guards against a bound of the edge that a frame cannot hold."""
+    padding = MAX_BODY_BYTES - 200
+    status, _, body = place.answer("big", padding=padding)
+    assert status == 200
+    assert len(body) > padding
+    assert place.system.ledger.runs == {"big": 1}
+
+
+def test_head_tells_the_length_without_a_body(place: Place) -> None:
+    """Guards against a HEAD whose length is that of its empty body."""
+    url = f"http://{place.services[0].addresses[0]}/work".encode()
+    body = FileBodyProducer(io.BytesIO(b"12345"))
+    response = result_of(new_agent(reactor).request(b"HEAD", url, Headers(), body))
+    assert response.code == 200
+    assert response.headers.getRawHeaders("Content-Length") == ["5"]
+    assert result_of(read_body(response, limit=10)) == b""
+
+
 def test_repeated_key_after_a_dead_balancer_runs_once(place: Place) -> None:
     """Guards against a doubled order when a balancer dies (H5)."""
     place.behave(service_time_s=5.0)
