Merge path: sockets, daemons, stand-ins, demo; watchers replace polling

Cause: the daemons polled the sheets themselves; the platform stand-in did not hold watches of lists, and claims could not be given up. Change: balancers get zone, seeds and partner secrets from their settings and learn sheets through leases and peers; agents prove their announcements; lists have versions and watches; a watch that ends at once pauses; a watcher that has not looked yet wakes at once.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,17 @@
-# VENV may name an existing environment with the dependencies installed.
+# VENV may name an existing environment with the dependencies installed; only
+# the default one is created here.
 VENV ?= .venv
 PY := PYTHONPATH=src $(VENV)/bin/python
 SOURCES := src tests features scripts
 
 .PHONY: demo test lint format unit behave bench soak
 
+ifeq ($(origin VENV),file)
 $(VENV)/.installed: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt -e '.[dev]'
 	touch $@
+endif
 
 demo: $(VENV)/.installed
 	$(PY) -m bramleydyke.demo
--- a/src/bramleydyke/core/watch.py
+++ b/src/bramleydyke/core/watch.py
@@ -18,6 +18,13 @@
 """Takes a reply with a new version and the time."""
 
 
+WATCH_PAUSE_S = 1.0
+"""Pause after a watch that ended at once without a newer version.
+
+A platform that does not hold a watch would otherwise be called in a loop.
+"""
+
+
 @dataclass(slots=True, kw_only=True)
 class Watch:
     """Reads an object once, then waits for each next version.
@@ -39,6 +46,7 @@
     version: int | None = None
     next_at: float | None = 0.0
     failures: int = 0
+    called_at: float = 0.0
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Calls the platform if it is time to."""
@@ -48,6 +56,7 @@
 
     def _call(self, now: float) -> list[Envelope]:
         self.next_at = None
+        self.called_at = now
         if self.version is None:
             return self.calls.read(self.path, self._replied, now=now)
         return self.calls.read(
@@ -68,10 +77,12 @@
             pause = self.random_source.uniform(0.5, 1.0) * ABSENT_PAUSE_S
             self.next_at = now + pause
             return []
-        out: list[Envelope] = []
         if reply.value is not None and reply.version > (self.version or 0):
             self.version = reply.version
-            out = self.changed(reply, now)
-        elif self.version is None:
+            return self.changed(reply, now) + self._call(now)
+        if self.version is None:
             self.version = reply.version
-        return out + self._call(now)
+        elif now - self.called_at < WATCH_PAUSE_S:
+            self.next_at = now + WATCH_PAUSE_S
+            return []
+        return self._call(now)
--- a/src/bramleydyke/core/watcher.py
+++ b/src/bramleydyke/core/watcher.py
@@ -119,6 +119,8 @@
         """Returns when ``wake`` has something to do."""
         if not self.watches:
             return None
+        if self.look_at is None:
+            return now
         times = [self.look_at, self.calls.next_wakeup()]
         if self.holding(now):
             times += [watch.next_at for watch in self.watches]
--- /dev/null
+++ b/src/bramleydyke/daemons/agent.py
@@ -0,0 +1,94 @@
+"""An agent with its sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol as TypingProtocol
+
+from bramleydyke.adapters.http_upstream import HttpUpstream
+from bramleydyke.core.agent import Agent
+from bramleydyke.core.credentials import prove
+from bramleydyke.daemons.environment import Environment, new_incarnation
+from bramleydyke.daemons.node import Node, random_source
+from bramleydyke.messages import Payload, SetDrain
+from bramleydyke.settings import AgentSettings, balancer_seeds, zone_of
+from bramleydyke.types import LOCAL_UPSTREAM, NodeId, Protocol, agent_node
+
+LOCAL_OPERATOR = NodeId("local/operator")
+"""Port of the process's own signals."""
+
+
+class AgentNode(Node):
+    """One agent.
+
+    Attributes:
+        agent: The role.
+        upstream: Port towards the upstream.
+    """
+
+    def __init__(self, settings: AgentSettings, *, environment: Environment) -> None:
+        node_id = agent_node(settings.service_id, settings.upstream_id)
+        incarnation = new_incarnation()
+        self.agent = Agent(
+            partner_id=settings.partner_id,
+            service_id=settings.service_id,
+            upstream_id=settings.upstream_id,
+            incarnation=incarnation,
+            zone=zone_of(settings),
+            endpoint=settings.listen,
+            slots=settings.slots,
+            credential=prove(settings.credential.encode(), node_id, incarnation),
+            balancers=balancer_seeds(settings),
+            random_source=random_source(settings, node_id=node_id),
+            now=environment.clock.seconds(),
+        )
+        super().__init__(
+            facade=self.agent,
+            settings=settings,
+            environment=environment,
+        )
+        self.upstream = UPSTREAM_PORTS[settings.protocol](self, settings)
+        self.runner.ports[LOCAL_UPSTREAM] = self.upstream.take
+
+    def drain(self) -> None:
+        """Refuses new work; requests in progress run to their end."""
+        self.log.info("draining")
+        self.runner.from_port(LOCAL_OPERATOR, SetDrain(draining=True))
+
+    def stop(self, *, abrupt: bool = False) -> None:
+        """Stops.
+
+        Args:
+            abrupt: True tells nobody, as a crash does.
+        """
+        if not abrupt:
+            now = self.environment.clock.seconds()
+            self.runner.pass_on(self.agent.stop(now=now))
+        super().stop(**({"linger_ms": 0} if abrupt else {}))
+        self.upstream.close()
+
+
+class UpstreamPort(TypingProtocol):
+    """The adapter between an agent and its upstream."""
+
+    def take(self, payload: Payload) -> None:
+        """Takes a message from the agent."""
+
+    def close(self) -> None:
+        """Breaks off everything at the upstream."""
+
+
+def http_upstream(node: AgentNode, settings: AgentSettings) -> UpstreamPort:
+    """Returns the port towards an HTTP upstream."""
+    return HttpUpstream(
+        reactor=node.environment.reactor,
+        base_url=f"http://{settings.upstream_address}",
+        deliver=node.runner.from_port,
+        count=node.metrics.count,
+    )
+
+
+UPSTREAM_PORTS: dict[Protocol, Callable[[AgentNode, AgentSettings], UpstreamPort]] = {
+    Protocol.HTTP: http_upstream
+}
+"""Makes the upstream port, by protocol; settings refuse all others."""
