Do not start a request after its deadline

Cause: an agent that went on after a pause started queued requests whose deadline had passed, when an answer freed the slot before the timers ran, and took offers that had waited in its socket for new ones with their full time left. A request that waited in vain was reported as unknown, because the placer gave up before the agent's refusal arrived.

Change: RequestServer._start refuses overdue requests; new offers are shed for STALL_S after a gap of more than two heartbeats; a queued request is refused QUEUE_MARGIN_S (50 ms) before its deadline.

Conclusion: a request that never started is now refused as not run.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -87,6 +87,31 @@
         "if offer.first_attempt and self._known_everywhere(now):",
         "if offer.first_attempt:",
     ),
+    Mutation(
+        "trust_first_attempt_after_pause",
+        "request_edge.py",
+        "first = message.first_attempt and not self.stalls.doubtful(now=now)",
+        "first = message.first_attempt",
+    ),
+    Mutation(
+        "run_offer_that_waited",
+        "request_server.py",
+        "if self.draining or self.stalls.doubtful(now=now):",
+        "if self.draining:",
+    ),
+    Mutation(
+        "start_after_deadline",
+        "request_server.py",
+        "if now >= record.deadline:",
+        "if False:",
+    ),
+    Mutation(
+        "accept_from_another_agent",
+        "placement.py",
+        "or message.incarnation != placement.incarnation\n"
+        "            or sender != self._node(placement)",
+        "or message.incarnation != placement.incarnation",
+    ),
     Mutation(
         "forget_earlier_incarnation",
         "request_server.py",
--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -42,6 +42,13 @@
 REPLAY_BYTES = 16 * 1024 * 1024
 """Bytes of ended answers that an agent keeps for repeated requests."""
 
+QUEUE_MARGIN_S = 0.05
+"""Time before its deadline at which a queued request is refused.
+
+The refusal reaches the placer before the deadline at which the placer would
+have to report an unknown outcome; a round trip between zones takes 10 ms.
+"""
+
 OFFER_TIMEOUT_S = 0.15
 """Wait for the reply to an offer before the same agent is asked again."""
 
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -128,6 +128,7 @@
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
+        self.requests.stalls.observe(now=now)
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -135,6 +136,7 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
+        self.requests.stalls.observe(now=now)
         out = self.requests.wake(now=now)
         if now >= self.heartbeat_at:
             self.heartbeat_at = now + HEARTBEAT_S
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -11,15 +11,18 @@
 from dataclasses import dataclass, field
 
 from bramleydyke.constants import (
+    HEARTBEAT_S,
     HOME_DELAY_S,
     OFFER_TIMEOUT_S,
     QUERY_TIMEOUT_S,
+    QUEUE_MARGIN_S,
     RECORD_RETENTION_S,
 )
 from bramleydyke.core.admission import Admission
 from bramleydyke.core.placement import Placement, Placer, placement_numbers
 from bramleydyke.core.records import Asker, Record, RecordState, RequestRecords
 from bramleydyke.core.rendezvous import score
+from bramleydyke.core.stalls import StallWatch
 from bramleydyke.core.timers import Timers
 from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
 from bramleydyke.messages import (
@@ -77,6 +80,8 @@
         placer: Places keyed requests when this upstream has no free slot.
         draining: True once the upstream takes no new work.
         records: What this agent knows of each request.
+        stalls: Tells whether offers may have waited here; the heartbeats
+            keep its gaps short.
     """
 
     node_id: NodeId
@@ -92,6 +97,9 @@
     draining: bool = False
     records: RequestRecords = field(default_factory=RequestRecords)
     placements: dict[int, RequestId] = field(default_factory=dict)
+    stalls: StallWatch = field(
+        default_factory=lambda: StallWatch(gap_s=2 * HEARTBEAT_S)
+    )
     timers: Timers[RequestId] = field(default_factory=Timers)
     _numbers: Iterator[int] = field(init=False)
 
@@ -124,7 +132,11 @@
     # Offers.
 
     def offered(self, sender: NodeId, offer: Offer, *, now: float) -> list[Envelope]:
-        """Runs, queues, places or refuses a request, or tells its state."""
+        """Runs, queues, places or refuses a request, or tells its state.
+
+        New work is shed right after a pause: the deadline of an offer that
+        waited may have passed long ago.
+        """
         asker = Asker(sender, offer.placement)
         kind = self._refusal_before_record(asker, offer)
         if kind is not None:
@@ -132,8 +144,8 @@
         record = self.records.get(offer.request_id)
         if record is not None:
             return self._join(record, asker, offer, now=now)
-        if self.draining:
-            kind = ErrorKind.DRAINING
+        if self.draining or self.stalls.doubtful(now=now):
+            kind = ErrorKind.DRAINING if self.draining else ErrorKind.SHED
             return self._refuse(asker, offer.request_id, offer.ask, kind, now=now)
         if offer.keyed:
             return self._start_keyed(asker, offer, now=now)
@@ -190,16 +202,25 @@
     def _enqueue(self, record: Record, *, now: float) -> list[Envelope]:
         record.state = RecordState.QUEUED
         self.admission.enqueue(record.request_id)
-        self.timers.set(record.request_id, record.deadline)
+        self.timers.set(record.request_id, record.deadline - QUEUE_MARGIN_S)
         started = self._start(now=now)
         return started + [self._accepted(record, asker) for asker in record.askers]
 
     def _start(self, *, now: float) -> list[Envelope]:
-        """Sends queued requests to the upstream while it has free slots."""
-        out = []
+        """Sends queued requests to the upstream while it has free slots.
+
+        After a pause, an answer may free a slot before the timers of queued
+        requests that are overdue.
+        """
+        out: list[Envelope] = []
         while (request_id := self.admission.start_next(now=now)) is not None:
             record = self.records.records[request_id]
             assert record.offer is not None
+            if now >= record.deadline:
+                self.admission.drop(request_id)
+                out += self._drop(record, ErrorKind.DEADLINE, now=now)
+                continue
+            self.timers.set(request_id, record.deadline)
             record.state = RecordState.RUNNING
             run = RunRequest(
                 request_id=request_id,
--- a/tests/history/test_faults.py
+++ b/tests/history/test_faults.py
@@ -172,3 +172,33 @@
         world.kill(balancer_node("b0"))
         world.join_balancer("b0")
     assert len(set(numbers)) == 2
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_queued_request_does_not_start_after_its_deadline(seed: int) -> None:
+    """Guards against work for nobody when a paused agent goes on."""
+    world = World(seed, upstreams=1)
+    (agent,) = world.agents(BOARD)
+    for key in ("running", "queued"):
+        world.behaviour[agent] = Behaviour(time_s=2.0)
+        world.call(BOARD, key, balancer="b0", keyed=False, timeout=3.0)
+        world.run(world.now + 0.05)
+    world.pause(agent)
+    world.run(world.now + 20.0)
+    world.resume(agent)
+    world.run(world.now + 5.0)
+    starts = [event for event in world.history if isinstance(event, Start)]
+    assert [event.key for event in starts] == ["running"]
+
+
+def test_request_that_waited_in_vain_was_not_run() -> None:
+    """Guards against an unknown outcome of a request that never started."""
+    world = World(1, upstreams=1)
+    (agent,) = world.agents(BOARD)
+    world.behaviour[agent] = Behaviour(mute=1.0)
+    world.call(BOARD, "running", balancer="b0", keyed=False, timeout=9.0)
+    world.run(world.now + 0.1)
+    queued = world.call(BOARD, "queued", balancer="b0", keyed=False, timeout=1.0)
+    world.run(world.now + 5.0)
+    (outcome,) = (item for item in world.outcomes() if item.attempt == queued)
+    assert outcome.got is Got.NOT_RUN
