--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -194,6 +194,7 @@
 
     def receive(self, envelope: Envelope, *, now: float) -> list[Envelope]:
         """Takes one message; returns the messages that follow from it."""
+        self.requests.stalls.observe(now=now)
         handler = self.handlers.get(type(envelope.payload))
         if handler is None:
             return []
@@ -201,6 +202,7 @@
 
     def wake(self, *, now: float) -> list[Envelope]:
         """Does what is due; returns the messages that follow from it."""
+        self.requests.stalls.observe(now=now)
         self.members.forget_gone(before=now - MEMBER_RETENTION_S)
         out = self.requests.wake(now=now) + self.flows.wake(now=now)
         out += self.streams.wake(now=now)
