Status claims a generation in force only when everyone has answered

Cause: a balancer that did not answer the status query was left out, and the status said in force without it; a watch of an absent object polled. Change: in_force needs the answers of all balancers of the zone and as many agents as are announced; agents of other zones are not counted; an absent object is waited for with version 0. Conclusion: in_force is true only if it was seen to be.

--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -42,6 +42,7 @@
         placer: Requests on their way to an agent.
         edge: Callers that wait here.
         control: Dissemination, membership, leases and status.
+        now: Time of the last call, in seconds.
     """
 
     def __init__(
--- a/src/bramleydyke/core/status.py
+++ b/src/bramleydyke/core/status.py
@@ -38,7 +38,7 @@
     """Agents of the zone that hold each generation."""
 
     in_force: bool
-    """True if all of them hold the newest generation."""
+    """True if every balancer answered and all hold the newest generation."""
 
     for_s: float
     """Since when, in seconds before the write."""
@@ -102,9 +102,21 @@
     since: dict[tuple[PartnerId, str, str], float] = field(default_factory=dict)
 
     def partner(
-        self, partner_id: PartnerId, replies: Iterable[StatusReply], *, now: float
+        self,
+        partner_id: PartnerId,
+        replies: Iterable[StatusReply],
+        *,
+        complete: bool,
+        now: float,
     ) -> PartnerStatus:
-        """Returns a partner's status from the balancers' replies."""
+        """Returns a partner's status.
+
+        Args:
+            partner_id: Whose status.
+            replies: Answers of the zone's balancers.
+            complete: Whether all of them have answered.
+            now: Time in seconds.
+        """
         replies = list(replies)
         newest = self.config.generation(partner_id)
         balancers = Counter(
@@ -113,7 +125,9 @@
         agents: Counter[Generation] = Counter()
         for reply in replies:
             agents.update(reply.agents.get(partner_id, {}))
-        in_force = not (balancers.keys() | agents.keys()) - {newest}
+        announced = sum(1 for _ in self._names(partner_id, "running"))
+        same = not (balancers.keys() | agents.keys()) - {newest}
+        in_force = same and complete and agents.total() >= announced
         force = "in force" if in_force else "spreading"
         since = self._ages(partner_id, "generation", {f"{newest} {force}"}, now=now)
         return PartnerStatus(
@@ -122,7 +136,7 @@
             agents=dict(agents),
             in_force=in_force,
             for_s=min(since.values()),
-            announced=sum(1 for _ in self._names(partner_id, "running")),
+            announced=announced,
             missing=self._aged(partner_id, "missing", now=now),
             draining=self._aged(partner_id, "draining", now=now),
             suspect=self._aged(partner_id, "suspect", now=now),
--- a/src/bramleydyke/core/status_writer.py
+++ b/src/bramleydyke/core/status_writer.py
@@ -20,6 +20,7 @@
 from bramleydyke.core.counting import count_refused
 from bramleydyke.core.drain import Fence
 from bramleydyke.core.lease import Lease
+from bramleydyke.core.members import GONE
 from bramleydyke.core.membership import Membership
 from bramleydyke.core.platform_calls import FAILED
 from bramleydyke.core.status import StatusTotals, ZoneStatus, stripped
@@ -128,17 +129,14 @@
     def _share(self) -> StatusReply:
         """Returns this balancer's generations and those of its agents.
 
-        Only the first home of an agent counts it.
+        Only the first home of an agent counts it, and only in its own zone.
         """
-        own = self.membership.announcement.node_id
+        own, zone = self.membership.announcement.node_id, self.totals.zone
         members = self.membership.members
         agents: dict[PartnerId, Counter[Generation]] = {}
         for node_id, held in self.membership.generations.items():
             known = members.by_node.get(node_id)
-            if known is None or known.state not in (
-                MemberState.RUNNING,
-                MemberState.DRAINING,
-            ):
+            if known is None or known.state in GONE or known.zone != zone:
                 continue
             homes = self.membership.link.home_map.homes(node_id, known.zone)
             if homes[:1] == [own]:
@@ -220,6 +218,7 @@
     def _status(self, lease: Lease, *, now: float) -> ZoneStatus:
         own = self.membership.announcement
         replies = self.replies.values()
+        complete = len(replies) == self.asked
         return ZoneStatus(
             zone=own.zone,
             writer=own.node_id,
@@ -227,7 +226,9 @@
             balancers=self.asked,
             replied=len(self.replies),
             partners={
-                partner_id: self.totals.partner(partner_id, replies, now=now)
+                partner_id: self.totals.partner(
+                    partner_id, replies, complete=complete, now=now
+                )
                 for partner_id in self.partners
             },
         )
--- a/src/bramleydyke/core/watch.py
+++ b/src/bramleydyke/core/watch.py
@@ -12,7 +12,8 @@
 from bramleydyke.types import PlatformStatus
 
 ABSENT_PAUSE_S = 2.0
-"""Pause before an object that is absent is looked for again."""
+"""Pause before the wait for an object that is absent, in case the platform
+answers such a wait at once."""
 
 Changed = Callable[[PlatformReply, float], list[Envelope]]
 """Takes a reply with a new version and the time."""
@@ -65,6 +66,7 @@
             return []
         self.failures = 0
         if reply.status is PlatformStatus.NOT_FOUND:
+            self.version = self.version or 0
             pause = self.random_source.uniform(0.5, 1.0) * ABSENT_PAUSE_S
             self.next_at = now + pause
             return []
--- a/tests/unit/test_drain_status.py
+++ b/tests/unit/test_drain_status.py
@@ -111,6 +111,22 @@
     assert set(status(net).partners[PARTNER].draining) == {f"{SERVICE}/u0"}
 
 
+def test_status_does_not_claim_what_a_silent_balancer_holds() -> None:
+    """Guards against a status in force while a balancer has not answered."""
+    net = Deployment(seed=7)
+    net.apply(service())
+    net.run(20)
+    assert status(net).partners[PARTNER].in_force
+    writer = status(net).writer
+    silent = next(item for item in net.seeds[0::3] if item != writer)
+    net.net.cut = lambda a, b: silent in (a, b)
+    net.apply(service(2.0))
+    net.run(7)
+    told = status(net)
+    assert told.replied < told.balancers
+    assert not told.partners[PARTNER].in_force
+
+
 def test_status_writes_are_bounded_while_everything_changes() -> None:
     """Guards against status writes that grow with the rate of changes."""
     net = Deployment(seed=6)
