Take platform replies from the local port only

Cause: a message of another process could pass for a reply of the platform. Change: the balancer checks the sender. Conclusion: only the local platform port answers calls.

--- a/src/bramleydyke/core/control.py
+++ b/src/bramleydyke/core/control.py
@@ -38,7 +38,7 @@
     SuspectQuery,
     SuspectReply,
 )
-from bramleydyke.types import Generation, MemberState, NodeId, PartnerId
+from bramleydyke.types import LOCAL_PLATFORM, Generation, MemberState, NodeId, PartnerId
 
 Handler = Callable[[NodeId, Any, float], list[Envelope]]
 """Takes the sender, the payload and the time."""
@@ -117,7 +117,7 @@
             MemberDelta: lambda who, msg, now: membership.delta(who, msg, now=now),
             SuspectQuery: lambda who, msg, now: suspicion.queried(who, msg, now=now),
             SuspectReply: self._suspect_reply,
-            PlatformReply: lambda _, msg, now: watcher.calls.replied(msg, now=now),
+            PlatformReply: self._platform_reply,
             DrainOrder: self._drain_order,
             DrainAck: lambda who, msg, _: watcher.acknowledged(who, msg),
             SetDrain: self._set_drain,
@@ -162,6 +162,14 @@
             return out
         return out + self.membership.notify(delta.partner_id, generation)
 
+    def _platform_reply(
+        self, sender: NodeId, reply: PlatformReply, now: float
+    ) -> list[Envelope]:
+        """Takes a reply from the local port; other nodes cannot forge one."""
+        if sender != LOCAL_PLATFORM:
+            return []
+        return self.watcher.calls.replied(reply, now=now)
+
     def _heartbeat(
         self, sender: NodeId, message: Heartbeat, now: float
     ) -> list[Envelope]:
