Keep homes and lease candidates over changes of other balancers

Change: only nodes that lose a home are computed; a new balancer is compared with the kept homes; lease candidates are kept until a balancer changes.

--- a/src/bramleydyke/core/homes.py
+++ b/src/bramleydyke/core/homes.py
@@ -32,7 +32,7 @@
     _version: int = -1
     _zones: dict[AvailabilityZone, list[NodeId]] = field(default_factory=dict)
     _all: list[NodeId] = field(default_factory=list)
-    _known: dict[tuple[NodeId, AvailabilityZone], list[NodeId]] = field(
+    _known: dict[AvailabilityZone, dict[NodeId, list[NodeId]]] = field(
         default_factory=dict
     )
 
@@ -42,54 +42,71 @@
         zone: AvailabilityZone,
         *,
         avoid: frozenset[NodeId] = frozenset(),
-        count: int = HOMES,
     ) -> list[NodeId]:
-        """Returns the home balancers of a node, at most ``count``."""
+        """Returns the home balancers of a node, at most ``HOMES``."""
         self._refresh()
-        if avoid or count != HOMES:
-            return self._compute(node_id, zone, avoid, count)
-        if (node_id, zone) not in self._known:
-            homes = self._compute(node_id, zone, avoid, count)
-            self._known[node_id, zone] = homes
-        return self._known[node_id, zone]
+        if avoid:
+            return self._compute(node_id, zone, avoid)
+        known = self._known.setdefault(zone, {})
+        if node_id not in known:
+            known[node_id] = self._compute(node_id, zone, avoid)
+        return known[node_id]
 
-    def thin_zones(self) -> set[AvailabilityZone]:
-        """Returns the zones that use balancers of other zones as homes.
+    def self_sufficient(self) -> set[AvailabilityZone]:
+        """Returns the zones whose homes are all in the zone itself.
 
         A zone's own balancers look for their homes among the others, hence
-        one more than ``HOMES``. Zones without any balancer are not listed.
+        one more than ``HOMES``.
         """
         self._refresh()
-        return {zone for zone, items in self._zones.items() if len(items) <= HOMES}
-
-    def has_balancers(self, zone: AvailabilityZone) -> bool:
-        """Tells whether a zone has running balancers."""
-        self._refresh()
-        return zone in self._zones
+        return {zone for zone, items in self._zones.items() if len(items) > HOMES}
 
     def _compute(
-        self,
-        node_id: NodeId,
-        zone: AvailabilityZone,
-        avoid: frozenset[NodeId],
-        count: int,
+        self, node_id: NodeId, zone: AvailabilityZone, avoid: frozenset[NodeId]
     ) -> list[NodeId]:
         avoid |= {node_id}
         own = [item for item in self._zones.get(zone, ()) if item not in avoid]
-        homes = ranked(node_id, own, count=count)
-        if len(homes) < count:
+        homes = ranked(node_id, own, count=HOMES)
+        if len(homes) < HOMES:
             rest = [
                 item for item in self._all if item not in avoid and item not in homes
             ]
-            homes += ranked(node_id, rest, count=count - len(homes))
+            homes += ranked(node_id, rest, count=HOMES - len(homes))
         return homes
 
     def _refresh(self) -> None:
         if self._version == self.members.balancers_version:
             return
         self._version = self.members.balancers_version
-        self._zones = {}
-        self._known = {}
+        before, self._zones = self._zones, {}
         for balancer in self.members.balancers_in(MemberState.RUNNING):
             self._zones.setdefault(balancer.zone, []).append(balancer.node_id)
         self._all = [item for zone in self._zones.values() for item in zone]
+        self._known = {
+            zone: self._still_valid(zone, set(before.get(zone, ())))
+            for zone in self._known
+        }
+
+    def _still_valid(
+        self, zone: AvailabilityZone, before: set[NodeId]
+    ) -> dict[NodeId, list[NodeId]]:
+        """Returns the homes that a change of a zone's balancers leaves valid.
+
+        Only nodes that lose a home are computed anew; computing all nodes of
+        a zone for each dead balancer took most of the processor time.
+        """
+        now = set(self._zones.get(zone, ()))
+        if min(len(before), len(now)) <= HOMES:
+            return {}
+        gone, added = before - now, now - before
+        kept = {
+            node_id: homes
+            for node_id, homes in self._known[zone].items()
+            if gone.isdisjoint(homes)
+        }
+        if not added:
+            return kept
+        return {
+            node_id: ranked(node_id, {*homes, *added} - {node_id}, count=HOMES)
+            for node_id, homes in kept.items()
+        }
--- a/src/bramleydyke/core/members.py
+++ b/src/bramleydyke/core/members.py
@@ -29,7 +29,7 @@
 }
 """Order of states within one revision: a draining node can be suspected."""
 
-GONE = frozenset({MemberState.SUSPECT, MemberState.STOPPED})
+GONE = (MemberState.SUSPECT, MemberState.STOPPED)
 """States of nodes that do not take part.
 
 Digests leave them out, so that processes that forget such a node at different
--- a/src/bramleydyke/core/suspicion.py
+++ b/src/bramleydyke/core/suspicion.py
@@ -145,10 +145,8 @@
 
     def _homes_of_candidates(self) -> Iterable[tuple[NodeId, list[NodeId]]]:
         own = self.members.by_node[self.node_id]
-        thin = self.homes.thin_zones()
+        others = self.homes.self_sufficient() - {own.zone}
         for node_id, known in self.members.by_node.items():
-            if node_id == self.node_id or known.state in GONE:
+            if known.zone in others or known.state in GONE or known is own:
                 continue
-            near = known.zone == own.zone or known.zone in thin
-            if near or not self.homes.has_balancers(known.zone):
-                yield node_id, self.homes.homes(node_id, known.zone)
+            yield node_id, self.homes.homes(node_id, known.zone)
--- a/src/bramleydyke/core/watcher.py
+++ b/src/bramleydyke/core/watcher.py
@@ -64,6 +64,9 @@
     resend_at: float = 0.0
     _drain_versions: dict[str, int] = field(default_factory=dict)
     _unread: dict[str, float] = field(default_factory=dict)
+    _version: int = -1
+    _running: list[NodeId] = field(default_factory=list)
+    _first: list[list[NodeId]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.calls = PlatformCalls(node_id=self.own.node_id)
@@ -160,20 +163,27 @@
         """
         if not self.enabled:
             return False
-        running = [
-            item.node_id
-            for item in self.members.balancers_in(
-                MemberState.RUNNING, zone=self.own.zone
-            )
-        ]
+        running, first = self._candidates()
         lease, held = self.leases[slot], self.held(now)
         other_busy = any(item.busy for item in self.leases if item is not lease)
         if held is None and other_busy:
             return False
         if held is not None and held is not lease and len(running) > 1:
             return False
-        first = ranked(lease.path, running, count=LEASE_CANDIDATES)
-        return held is lease or self.own.node_id in first
+        return held is lease or self.own.node_id in first[slot]
+
+    def _candidates(self) -> tuple[list[NodeId], list[list[NodeId]]]:
+        """Returns the zone's running balancers, and those for each lease."""
+        if self._version != self.members.balancers_version:
+            self._version = self.members.balancers_version
+            zone = self.own.zone
+            known = self.members.balancers_in(MemberState.RUNNING, zone=zone)
+            self._running = [item.node_id for item in known]
+            self._first = [
+                ranked(lease.path, self._running, count=LEASE_CANDIDATES)
+                for lease in self.leases
+            ]
+        return self._running, self._first
 
     def _sheet_watch(self, partner_id: PartnerId) -> Watch:
         def changed(reply: PlatformReply, now: float) -> list[Envelope]:
--- a/tests/property/test_control_properties.py
+++ b/tests/property/test_control_properties.py
@@ -16,6 +16,7 @@
     next_config,
 )
 from bramleydyke.core.dissemination import Dissemination
+from bramleydyke.core.homes import HomeMap
 from bramleydyke.core.lease import Lease
 from bramleydyke.core.members import Members
 from bramleydyke.core.platform_calls import PlatformCalls
@@ -183,3 +184,29 @@
     for node_id in list(second.by_node):
         second.forget(node_id)
     assert second.digest() == Members().digest()
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(steps=st.lists(st.tuples(st.integers(0, 7), st.booleans()), max_size=30))
+def test_homes_kept_over_changes_equal_homes_computed_anew(
+    steps: list[tuple[int, bool]],
+) -> None:
+    """Guards against kept homes that differ from another process's view."""
+    members = Members()
+    kept = HomeMap(members)
+    nodes = [NodeId(f"agent/p/s/u{index}") for index in range(5)]
+    nodes += [balancer_node(f"h{index}") for index in range(3)]
+    for revision, (index, running) in enumerate(steps, 1):
+        state = MemberState.RUNNING if running else MemberState.SUSPECT
+        announcement = Announcement(
+            node_id=balancer_node(f"h{index}"),
+            incarnation=Incarnation(1),
+            revision=revision,
+            state=state,
+            zone=ZONE if index < 6 else AvailabilityZone("fes"),
+            endpoint="",
+        )
+        members.merge(announcement, now=0.0)
+        for node_id in nodes:
+            fresh = HomeMap(members).homes(node_id, ZONE)
+            assert kept.homes(node_id, ZONE) == fresh
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -16,6 +16,7 @@
 )
 from bramleydyke.core.lease import LOOK_JITTER_S, Lease, LeaseRecord
 from bramleydyke.core.platform_calls import PlatformCalls
+from bramleydyke.core.watch import Watch
 from bramleydyke.messages import Envelope, PlatformReply, PlatformWrite
 from bramleydyke.types import (
     AvailabilityZone,
@@ -190,3 +191,26 @@
     net.run(5)
     assert net.generations() == {1}
     assert net.net.counts["refused.wrong_partner"] > 0
+
+
+def test_reply_that_reaches_a_former_holder_is_not_acted_on() -> None:
+    """Guards against a paused holder that acts on what it read before."""
+    seen: list[PlatformReply] = []
+    active = True
+    calls = PlatformCalls(node_id=balancer_node("a"))
+    watch = Watch(
+        path="sheets/federation",
+        calls=calls,
+        changed=lambda reply, now: seen.append(reply) or [],
+        active=lambda now: active,
+        random_source=random.Random(1),
+    )
+    [read] = _calls(watch.wake(now=0.0))
+    active = False
+    reply = PlatformReply(
+        call=read.payload.call, status=PlatformStatus.OK, version=3, value=b"{}"
+    )
+    assert calls.replied(reply, now=60.0) == []
+    assert seen == [] and watch.wake(now=60.0) == []
+    active = True
+    assert len(_calls(watch.wake(now=61.0))) == 1
