Isolated zones in the tests; the agent's placement keeps the floor

Cause: no test covered a zone that is cut off from peers and store while the others change; a home agent disregarded the floor on suspicions. Change: the core network can cut nodes off from the store; an agent places at the same upstreams as a balancer would. Conclusion: an isolated zone keeps its generation, gives up its leases and catches up.

--- a/src/bramleydyke/bench/cores.py
+++ b/src/bramleydyke/bench/cores.py
@@ -168,6 +168,7 @@
         delay: Returns the delay between two nodes, in seconds.
         loss: Share of messages between nodes that get lost.
         cut: Tells whether a message cannot pass, as in a partition.
+        storeless: Nodes whose calls to the store get no reply.
         paused: Nodes that do not run; messages to them wait.
     """
 
@@ -183,6 +184,7 @@
     kinds: Counter[str] = field(default_factory=Counter)
     """Bytes sent of each message type."""
 
+    storeless: set[NodeId] = field(default_factory=set)
     paused: set[NodeId] = field(default_factory=set)
     _heap: list[tuple[float, int, NodeId, Envelope | None, bytes]] = field(
         default_factory=list
@@ -285,6 +287,8 @@
         self._push(at, receiver, envelope, data)
 
     def _call_store(self, envelope: Envelope) -> None:
+        if envelope.sender in self.storeless:
+            return
         reply = self.store.call(envelope.sender, envelope.payload, now=self.now)
         if reply is not None:
             self._reply(envelope.sender, reply)
@@ -302,6 +306,8 @@
             self._reply(caller, reply)
 
     def _reply(self, caller: NodeId, reply: PlatformReply) -> None:
+        if caller in self.storeless:
+            return
         at = self.now + STORE_DELAY_S
         data = _encoder.encode(reply)
         if caller in self.usage:
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -189,9 +189,9 @@
 
     def usable_peers(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the other upstreams that may take new work."""
-        running = self.members.upstreams(service_id, MemberState.RUNNING)
+        usable = self.members.usable(service_id)
         own = self.announcement.upstream_id
-        return [upstream for upstream in running if upstream != own]
+        return [upstream for upstream in usable if upstream != own]
 
     def weights(self, placement: Placement, now: float) -> dict[UpstreamId, float]:
         """Returns the weights of upstreams that a keyed request may go to."""
--- a/tests/unit/test_dissemination.py
+++ b/tests/unit/test_dissemination.py
@@ -6,6 +6,7 @@
 import pytest
 from control_fixture import PARTNER, SERVICE, Deployment, service
 
+from bramleydyke.core.balancer import Balancer
 from bramleydyke.core.config import (
     ConfigDelta,
     ConfigStore,
@@ -129,3 +130,27 @@
     net.add_balancer(9)
     net.run(5)
     assert net.generations() == {2}
+
+
+@pytest.mark.parametrize("seed", [5, 6])
+def test_isolated_zone_keeps_its_generation_and_catches_up(seed: int) -> None:
+    """Guards against an isolated zone that reverts the others (H8)."""
+    net = Deployment(seed=seed, agents=6)
+    net.apply(service())
+    net.run(8)
+    inside = [*net.balancers[0::3], *net.agents[0::3]]
+    names = {node.node_id for node in inside}
+    net.net.cut = lambda a, b: (a in names) != (b in names)
+    net.net.storeless = names
+    net.apply(service(2.0))
+    net.run(40)
+    assert {node.config.generation(PARTNER) for node in inside} == {1}
+    watchers = [node.control.watcher for node in inside if isinstance(node, Balancer)]
+    assert not any(watcher.holding(net.net.now) for watcher in watchers)
+    net.net.cut = lambda a, b: False
+    net.net.storeless = set()
+    for _ in range(10):
+        net.run(0.5)
+        outside = (node for node in net.balancers if node.node_id not in names)
+        assert {node.config.generation(PARTNER) for node in outside} == {2}
+    assert net.generations() == {2}
