--- a/src/bramleydyke/core/control.py
+++ b/src/bramleydyke/core/control.py
@@ -38,7 +38,7 @@
     SuspectQuery,
     SuspectReply,
 )
-from bramleydyke.types import Generation, MemberState, NodeId, PartnerId
+from bramleydyke.types import LOCAL_PLATFORM, Generation, MemberState, NodeId, PartnerId
 
 Handler = Callable[[NodeId, Any, float], list[Envelope]]
 """Takes the sender, the payload and the time."""
@@ -102,9 +102,7 @@
         membership, spread = self.membership, self.membership.spread
         suspicion, watcher = self.membership.suspicion, self.watcher
         return {
-            ConfigDelta: lambda who, msg, now: self.dissemination.take(
-                who, msg, now=now
-            ),
+            ConfigDelta: self._take,
             ConfigDigest: lambda who, msg, now: self.dissemination.digested(
                 who, msg, now=now
             ),
@@ -119,7 +117,7 @@
             MemberDelta: lambda who, msg, now: membership.delta(who, msg, now=now),
             SuspectQuery: lambda who, msg, now: suspicion.queried(who, msg, now=now),
             SuspectReply: self._suspect_reply,
-            PlatformReply: lambda _, msg, now: watcher.calls.replied(msg, now=now),
+            PlatformReply: self._platform_reply,
             DrainOrder: self._drain_order,
             DrainAck: lambda who, msg, _: watcher.acknowledged(who, msg),
             SetDrain: self._set_drain,
@@ -153,7 +151,24 @@
 
     def _new_config(self, config: PartnerConfig, now: float) -> list[Envelope]:
         node_id = self.membership.announcement.node_id
-        return self.dissemination.take(node_id, full_delta(config), now=now)
+        return self._take(node_id, full_delta(config), now)
+
+    def _take(self, sender: NodeId, delta: ConfigDelta, now: float) -> list[Envelope]:
+        """Takes a delta into force; tells peers and agents of it."""
+        before = self.config.generation(delta.partner_id)
+        out = self.dissemination.take(sender, delta, now=now)
+        generation = self.config.generation(delta.partner_id)
+        if generation == before:
+            return out
+        return out + self.membership.notify(delta.partner_id, generation)
+
+    def _platform_reply(
+        self, sender: NodeId, reply: PlatformReply, now: float
+    ) -> list[Envelope]:
+        """Takes a reply from the local port; other nodes cannot forge one."""
+        if sender != LOCAL_PLATFORM:
+            return []
+        return self.watcher.calls.replied(reply, now=now)
 
     def _heartbeat(
         self, sender: NodeId, message: Heartbeat, now: float
