Load experiment with network delays

Cause: the placement policy had no measurement with delays and loss. Change: an event heap drives the real Balancer and Agent cores, and simple policies for comparison, over the same requests and delays: two balancers in each zone, 0.1% loss, exponential jitter of 0.2 ms.

--- /dev/null
+++ b/src/bramleydyke/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system; ``python -m bramleydyke.bench`` runs all."""
--- /dev/null
+++ b/src/bramleydyke/bench/cluster.py
@@ -0,0 +1,270 @@
+"""Real cores of balancers and agents, joined by a network with delays."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from bramleydyke.bench.events import EventHeap
+from bramleydyke.bench.tally import Tally
+from bramleydyke.bench.topology import LOSS, Deployment
+from bramleydyke.bench.workload import Request
+from bramleydyke.core.agent import Agent
+from bramleydyke.core.balancer import Balancer
+from bramleydyke.core.config import ConfigDelta, ServiceConfig, UpstreamSpec
+from bramleydyke.core.limits import PartnerLimits
+from bramleydyke.messages import (
+    Announcement,
+    AnswerCaller,
+    Envelope,
+    RefuseCaller,
+    RequestArrived,
+    RequestDone,
+    RunRequest,
+    StopRequest,
+)
+from bramleydyke.types import (
+    LOCAL_CALLER,
+    LOCAL_METRICS,
+    LOCAL_PLATFORM,
+    LOCAL_UPSTREAM,
+    AvailabilityZone,
+    Generation,
+    Incarnation,
+    NodeId,
+    PartnerId,
+    Protocol,
+    RequestId,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+    balancer_node,
+)
+
+PARTNER = PartnerId("partner")
+ADDRESS = ServiceAddress("127.0.0.1:9000")
+TIMEOUT_S = 30.0
+
+Node = Balancer | Agent
+
+
+@dataclass(slots=True)
+class Cluster:
+    """One service's balancers and agents, and its upstreams.
+
+    Attributes:
+        nodes: Processes that are alive.
+        zones: Number of the availability zone of each process.
+        sprayed: Balancers that the fabric sends new requests to.
+        running: Start of each request at each agent's upstream.
+        run: Requests that have started, to find any that run twice.
+        generation: Newest configuration that was put into force.
+    """
+
+    deployment: Deployment
+    events: EventHeap
+    tally: Tally
+    source: random.Random
+    requests: list[Request]
+    nodes: dict[NodeId, Node] = field(default_factory=dict)
+    zones: dict[NodeId, int] = field(default_factory=dict)
+    sprayed: list[NodeId] = field(default_factory=list)
+    running: dict[tuple[NodeId, RequestId], float] = field(default_factory=dict)
+    run: set[int] = field(default_factory=set)
+    generation: int = 0
+    _last_delivery: dict[tuple[NodeId, NodeId], float] = field(default_factory=dict)
+    _wake_at: dict[NodeId, float] = field(default_factory=dict)
+
+    @property
+    def service_id(self) -> ServiceId:
+        """Returns the id of the only service."""
+        return ServiceId(f"{PARTNER}/{self.deployment.name}")
+
+    def add_balancer(self, name: str, *, zone: int) -> Balancer:
+        """Starts a balancer; it is not sprayed to yet."""
+        balancer = Balancer(
+            node_id=balancer_node(name),
+            incarnation=Incarnation(1),
+            random_source=random.Random(f"{name}/{self.source.random()}"),
+            limits=PartnerLimits(max_requests=1_000_000),
+        )
+        self._add(balancer, zone)
+        return balancer
+
+    def add_agent(self, number: int) -> Agent:
+        """Starts the agent of an upstream."""
+        zone = number % self.deployment.zones
+        agent = Agent(
+            partner_id=PARTNER,
+            service_id=self.service_id,
+            upstream_id=UpstreamId(str(number)),
+            incarnation=Incarnation(1),
+            zone=AvailabilityZone(str(zone)),
+            endpoint="127.0.0.1:1",
+            slots=self.deployment.slots,
+            credential="",
+            balancers=(),
+            random_source=random.Random(f"{number}/{self.source.random()}"),
+            now=self.events.now,
+        )
+        self._add(agent, zone)
+        return agent
+
+    def _add(self, node: Node, zone: int) -> None:
+        self.nodes[node.node_id] = node
+        self.zones[node.node_id] = zone
+
+    def agents(self) -> list[Agent]:
+        """Returns the agents that are alive."""
+        return [node for node in self.nodes.values() if isinstance(node, Agent)]
+
+    def config(self, weights: Iterable[float]) -> ConfigDelta:
+        """Returns the next generation of the configuration."""
+        self.generation += 1
+        service = ServiceConfig(
+            service_id=self.service_id,
+            partner_id=PARTNER,
+            protocol=Protocol.HTTP,
+            addresses=(ADDRESS,),
+            upstreams=tuple(
+                UpstreamSpec(
+                    UpstreamId(str(number)),
+                    AvailabilityZone(str(number % self.deployment.zones)),
+                    weight,
+                    self.deployment.slots,
+                )
+                for number, weight in enumerate(weights)
+            ),
+            changed_at=Generation(self.generation),
+        )
+        return ConfigDelta(
+            partner_id=PARTNER,
+            base=Generation(0),
+            generation=Generation(self.generation),
+            services=(service,),
+        )
+
+    def tell(self, node_id: NodeId, payload: ConfigDelta | Announcement) -> None:
+        """Hands a process what dissemination would bring it."""
+        self.deliver(Envelope(LOCAL_PLATFORM, node_id, payload))
+
+    def arrive(self, number: int) -> None:
+        """Brings a request to the balancer that the fabric chooses."""
+        request = self.requests[number]
+        receiver = self.sprayed[request.balancer % len(self.sprayed)]
+        message = RequestArrived(
+            caller=number,
+            address=ADDRESS,
+            payload=number.to_bytes(4),
+            idempotent=False,
+            timeout=TIMEOUT_S,
+        )
+        self.tally.counts["requests"] += 1
+        self.deliver(Envelope(LOCAL_CALLER, receiver, message))
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Gives a message to its receiver, if that is alive."""
+        node = self.nodes.get(envelope.receiver)
+        if node is not None:
+            self._send(node.receive(envelope, now=self.events.now))
+            self._wake_later(node)
+
+    def _send(self, envelopes: list[Envelope]) -> None:
+        for envelope in envelopes:
+            if envelope.receiver == LOCAL_METRICS:
+                self.tally.counts[envelope.payload.name] += envelope.payload.amount
+            elif envelope.receiver == LOCAL_UPSTREAM:
+                self._to_upstream(envelope.sender, envelope.payload)
+            elif envelope.receiver == LOCAL_CALLER:
+                self._to_caller(envelope.payload)
+            else:
+                self._transmit(envelope)
+
+    def _transmit(self, envelope: Envelope) -> None:
+        """Sends a message over a link that keeps the order."""
+        self.tally.counts[f"sent.{type(envelope.payload).__name__}"] += 1
+        if self.source.random() < LOSS:
+            return
+        link = envelope.sender, envelope.receiver
+        zone_a, zone_b = self.zones[link[0]], self.zones.get(link[1], 0)
+        delay = self.deployment.delay(zone_a, zone_b, self.source)
+        at = max(self.events.now + delay, self._last_delivery.get(link, 0.0))
+        self._last_delivery[link] = at
+        self.events.at(at, lambda: self.deliver(envelope))
+
+    def _wake_later(self, node: Node) -> None:
+        at = node.next_wakeup()
+        node_id = node.node_id
+        if at is None or self._wake_at.get(node_id, float("inf")) <= at:
+            return
+        self._wake_at[node_id] = at
+        self.events.at(at, lambda: self._wake(node_id, at))
+
+    def _wake(self, node_id: NodeId, at: float) -> None:
+        node = self.nodes.get(node_id)
+        if node is None or self._wake_at.get(node_id) != at:
+            return
+        del self._wake_at[node_id]
+        self._send(node.wake(now=self.events.now))
+        self._wake_later(node)
+
+    def _to_caller(self, payload: object) -> None:
+        if isinstance(payload, AnswerCaller):
+            self.tally.counts["answered"] += 1
+        elif isinstance(payload, RefuseCaller):
+            self.tally.counts[f"refused_to_caller.{payload.kind.value}"] += 1
+
+    def _to_upstream(self, agent: NodeId, payload: object) -> None:
+        if isinstance(payload, RunRequest):
+            self._start(agent, payload)
+        elif isinstance(payload, StopRequest):
+            self._stop(agent, payload.request_id)
+
+    def _start(self, agent: NodeId, message: RunRequest) -> None:
+        now = self.events.now
+        number = int.from_bytes(message.payload)
+        self.tally.counts["ran_twice"] += number in self.run
+        self.run.add(number)
+        self.running[agent, message.request_id] = now
+        request = self.requests[number]
+        self.tally.started(arrived_at=request.at, now=now)
+        done = RequestDone(request_id=message.request_id, payload=message.payload)
+        self.events.at(now + request.service_s, lambda: self._done(agent, done))
+
+    def _done(self, agent: NodeId, message: RequestDone) -> None:
+        if self._stop(agent, message.request_id):
+            self.deliver(Envelope(LOCAL_UPSTREAM, agent, message))
+
+    def _stop(self, agent: NodeId, request_id: RequestId) -> bool:
+        start = self.running.pop((agent, request_id), None)
+        if start is None:
+            return False
+        upstream = int(agent.rsplit("/", 1)[1])
+        self.tally.ran(upstream, start=start, end=self.events.now)
+        return True
+
+
+def make_cluster(
+    deployment: Deployment, requests: list[Request], *, seed: int
+) -> Cluster:
+    """Returns a cluster in which every process knows all agents."""
+    cluster = Cluster(
+        deployment=deployment,
+        events=EventHeap(),
+        tally=Tally([1.0] * deployment.upstreams),
+        source=random.Random(f"{seed}/network"),
+        requests=requests,
+    )
+    agents = [cluster.add_agent(number) for number in range(deployment.upstreams)]
+    for number in range(deployment.balancers):
+        balancer = cluster.add_balancer(f"b{number}", zone=number % deployment.zones)
+        cluster.sprayed.append(balancer.node_id)
+    config = cluster.config([1.0] * deployment.upstreams)
+    for node_id in cluster.nodes:
+        cluster.tell(node_id, config)
+        for agent in agents:
+            cluster.tell(node_id, agent.announcement)
+    for number, request in enumerate(requests):
+        cluster.events.at(request.at, lambda number=number: cluster.arrive(number))
+    return cluster
--- /dev/null
+++ b/src/bramleydyke/bench/placement.py
@@ -0,0 +1,197 @@
+"""Load experiment: imbalance and wait of placement policies with delays.
+
+Runs every policy over the same requests, delays and seeds, each run in a
+process of its own. ``bramleydyke`` drives the real cores as they are;
+``first_version`` drives them with the candidates offered one after the other.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+import click
+
+from bramleydyke.bench.baselines import BASELINES, run_baseline
+from bramleydyke.bench.cluster import make_cluster
+from bramleydyke.bench.tally import Tally, wait_histogram
+from bramleydyke.bench.topology import (
+    DEPLOYMENTS,
+    DRAIN_S,
+    MEAN_SERVICE_S,
+    Deployment,
+)
+from bramleydyke.bench.variants import VARIANTS
+from bramleydyke.bench.workload import Request, make_requests
+
+DURATION_S = 300.0
+LOADS = (0.5, 0.8, 0.95)
+SEEDS = 3
+PROCESSES = 6
+OURS = "bramleydyke"
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One run: a policy over one service's requests at one load."""
+
+    policy: str
+    deployment: Deployment
+    load: float
+    seed: int
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """What one run measured; the waits are encoded so that they can travel."""
+
+    job: Job
+    imbalance: float
+    waits: bytes
+    counts: Counter[str]
+
+
+def run(job: Job) -> RunResult:
+    """Runs one job."""
+    requests = make_requests(
+        job.deployment, load=job.load, duration_s=job.duration_s, seed=job.seed
+    )
+    if job.policy in BASELINES:
+        tally = run_baseline(
+            job.policy,
+            job.deployment,
+            requests,
+            duration_s=job.duration_s,
+            seed=job.seed,
+        )
+    else:
+        tally = _run_cores(job, requests)
+    return RunResult(
+        job, tally.imbalance(job.duration_s), tally.waits.encode(), tally.counts
+    )
+
+
+def _run_cores(job: Job, requests: list[Request]) -> Tally:
+    cluster = make_cluster(job.deployment, requests, seed=job.seed)
+    for node in cluster.nodes.values():
+        VARIANTS[job.policy](node.placer)
+    cluster.events.run(job.duration_s + DRAIN_S)
+    return cluster.tally
+
+
+def run_all(jobs: Iterable[Job]) -> list[RunResult]:
+    """Runs jobs in several processes, the longest first."""
+    ordered = sorted(
+        jobs, key=lambda job: (job.policy in BASELINES, -_expected_requests(job))
+    )
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        return list(pool.map(run, ordered))
+
+
+def _expected_requests(job: Job) -> float:
+    return job.deployment.request_rate(job.load) * job.duration_s
+
+
+def summarise(results: Iterable[RunResult]) -> list[dict[str, object]]:
+    """Returns one row for each policy, service and load, over all seeds."""
+    groups: dict[tuple[str, str, float], list[RunResult]] = {}
+    for result in results:
+        job = result.job
+        key = job.deployment.name, job.policy, job.load
+        groups.setdefault(key, []).append(result)
+    return [_row(*key, runs) for key, runs in sorted(groups.items())]
+
+
+def _row(
+    service: str, policy: str, load: float, runs: list[RunResult]
+) -> dict[str, object]:
+    waits = wait_histogram()
+    counts: Counter[str] = Counter()
+    for result in runs:
+        waits.decode_and_add(result.waits)
+        counts += result.counts
+    requests = counts["requests"]
+    sent = sum(count for name, count in counts.items() if name.startswith("sent."))
+    refused = sum(
+        count for name, count in counts.items() if name.startswith("refused_to_caller.")
+    )
+    p99 = waits.get_value_at_percentile(99.0) / 1e6 / MEAN_SERVICE_S
+    return {
+        "service": service,
+        "policy": policy,
+        "load": load,
+        "imbalance": round(sum(run.imbalance for run in runs) / len(runs), 4),
+        "p99_wait": round(p99, 2),
+        "mean_wait": round(waits.get_mean_value() / 1e6 / MEAN_SERVICE_S, 3),
+        "messages_per_request": round(sent / requests, 2),
+        "refused": refused,
+        "unanswered": requests - counts["answered"] - refused,
+        "ran_twice": counts["ran_twice"],
+    }
+
+
+def make_jobs(
+    policies: Iterable[str],
+    *,
+    seed: int,
+    loads: Iterable[float] = LOADS,
+    duration_s: float = DURATION_S,
+    seeds: int = SEEDS,
+) -> list[Job]:
+    """Returns the jobs of policies over all services, loads and seeds."""
+    loads = list(loads)
+    return [
+        Job(policy, deployment, load, seed + index, duration_s)
+        for policy in policies
+        for deployment in DEPLOYMENTS
+        for load in loads
+        for index in range(seeds)
+    ]
+
+
+def measure(*, seed: int, quick: bool = False) -> dict[str, object]:
+    """Runs all policies; returns imbalance and p99 wait at 80% load.
+
+    Args:
+        seed: First of the three seeds.
+        quick: One seed and 30 s, to see that everything runs.
+    """
+    policies = [*VARIANTS, *BASELINES]
+    shorter = {"duration_s": 30.0, "seeds": 1} if quick else {}
+    rows = summarise(run_all(make_jobs(policies, seed=seed, **shorter)))
+    result: dict[str, object] = {"placement": rows}
+    for figure in ("imbalance", "p99_wait"):
+        by_service: dict[str, dict[str, object]] = {}
+        for row in rows:
+            if row["load"] == 0.8:
+                policy_values = by_service.setdefault(str(row["service"]), {})
+                policy_values[str(row["policy"])] = row[figure]
+        result[figure] = by_service
+    return result
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=SEEDS, show_default=True, help="Number of seeds.")
+@click.option("--duration", default=DURATION_S, show_default=True, help="Seconds.")
+@click.option("--load", "loads", multiple=True, type=float, default=(0.8,))
+@click.option("--policy", "policies", multiple=True, default=tuple(VARIANTS))
+def main(
+    seed: int,
+    seeds: int,
+    duration: float,
+    loads: tuple[float, ...],
+    policies: tuple[str, ...],
+) -> None:
+    """Compares policies in one run; prints one JSON row for each."""
+    jobs = make_jobs(policies, seed=seed, loads=loads, duration_s=duration, seeds=seeds)
+    for row in summarise(run_all(jobs)):
+        click.echo(json.dumps(row))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleydyke/bench/topology.py
@@ -0,0 +1,91 @@
+"""The deployments of the load experiment, as the design page lists them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+MEAN_SERVICE_S = 0.05
+"""Mean service time of a request."""
+
+LOCAL_DELAY_S = 0.0002
+"""One-way delay between two processes of one availability zone."""
+
+JITTER_S = 0.0002
+"""Mean of the exponential jitter on top of each one-way delay."""
+
+LOSS = 0.001
+"""Share of messages between processes that are lost."""
+
+DRAIN_S = 40.0
+"""Time after the last arrival in which requests still end: over a deadline."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """One service, its upstreams and the balancers in front of it.
+
+    Attributes:
+        zone_delay_s: One-way delay between two availability zones.
+        client_delay_s: One-way delay between callers and balancers.
+        balancers_per_zone: Balancers in each availability zone.
+    """
+
+    name: str
+    zones: int
+    upstreams: int
+    slots: int
+    zone_delay_s: float
+    client_delay_s: float
+    balancers_per_zone: int = 2
+
+    @property
+    def balancers(self) -> int:
+        """Returns the number of balancers."""
+        return self.zones * self.balancers_per_zone
+
+    def request_rate(self, load: float) -> float:
+        """Returns the requests a second at a share of the capacity."""
+        return load * self.upstreams * self.slots / MEAN_SERVICE_S
+
+    def delay(self, zone_a: int, zone_b: int, source: random.Random) -> float:
+        """Returns the one-way delay of one message, in seconds."""
+        fixed = LOCAL_DELAY_S if zone_a == zone_b else self.zone_delay_s
+        return fixed + source.expovariate(1 / JITTER_S)
+
+
+DEPLOYMENTS = (
+    Deployment(
+        name="bourse-beurre",
+        zones=3,
+        upstreams=7,
+        slots=2,
+        zone_delay_s=0.005,
+        client_delay_s=0.001,
+    ),
+    Deployment(
+        name="bulletin-laitier",
+        zones=3,
+        upstreams=3,
+        slots=2,
+        zone_delay_s=0.005,
+        client_delay_s=0.001,
+    ),
+    Deployment(
+        name="proof-desk",
+        zones=4,
+        upstreams=7,
+        slots=1,
+        zone_delay_s=0.004,
+        client_delay_s=0.003,
+    ),
+    Deployment(
+        name="frame-vault",
+        zones=4,
+        upstreams=4,
+        slots=1,
+        zone_delay_s=0.004,
+        client_delay_s=0.003,
+    ),
+)
+"""The services of both partners, today's size."""
