Probe, early repeat, release of queued requests, queue by age

Cause: with delays the 99th percentile wait at 80% load was 3.23 (bourse-beurre), 6.17 (proof-desk) and 7.66 (frame-vault) mean service times, above the targets. A candidate was asked after the other, a lost offer cost 150 ms, and a request stayed behind a long one while another agent was free. Change: the other candidates report their backlog while one has the offer; a lost offer is repeated after 30 ms at the same agent; an agent with a free slot asks two others for a queued request, which they refuse as released; queues serve the longest wait first; silent agents come last; a drain moves the queue; up to 256 requests a slot are queued. Scenarios of planned changes and a zone loss. bench/__main__.py runs all measures. Conclusion: the request is still at one agent at a time.

--- /dev/null
+++ b/src/bramleydyke/bench/__main__.py
@@ -0,0 +1,92 @@
+"""Runs all measurements: ``python -m bramleydyke.bench``."""
+
+from __future__ import annotations
+
+import importlib
+import importlib.util
+import inspect
+import json
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+MODULES = ("placement", "changes", "relay", "flow_memory", "reroute", "spread")
+"""Modules of this package with ``measure(*, seed) -> dict``."""
+
+RESULT_FILE = Path("build/bench.json")
+
+Measure = Callable[..., dict[str, object]]
+
+
+def find_measure(name: str) -> Measure | None:
+    """Returns the measure of a module, None if there is no such module."""
+    qualified = f"bramleydyke.bench.{name}"
+    if importlib.util.find_spec(qualified) is None:
+        return None
+    return importlib.import_module(qualified).measure
+
+
+def call_measure(measure: Measure, *, seed: int, quick: bool) -> dict[str, object]:
+    """Calls a measure; passes ``quick`` on to those that have a short form."""
+    if quick and "quick" in inspect.signature(measure).parameters:
+        return measure(seed=seed, quick=True)
+    return measure(seed=seed)
+
+
+def merge(into: dict[str, Any], result: dict[str, Any]) -> None:
+    """Adds a result; values that are objects in both are merged key by key.
+
+    Raises:
+        ValueError: Two modules report the same figure.
+    """
+    for key, value in result.items():
+        if key not in into:
+            into[key] = value
+        elif isinstance(into[key], dict) and isinstance(value, dict):
+            merge(into[key], value)
+        else:
+            raise ValueError(f"two modules report the figure {key!r}")
+
+
+def run_modules(names: tuple[str, ...], *, seed: int, quick: bool) -> dict[str, object]:
+    """Runs modules one after the other, as they use all processors."""
+    results: dict[str, Any] = {"seed": seed}
+    for name in names:
+        measure = find_measure(name)
+        if measure is None:
+            click.echo(f"{name}: no such module, left out")
+            continue
+        started = time.monotonic()
+        merge(results, call_measure(measure, seed=seed, quick=quick))
+        click.echo(f"{name}: {time.monotonic() - started:.1f} s")
+    return results
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of all measures.")
+@click.option(
+    "--only",
+    multiple=True,
+    type=click.Choice(MODULES),
+    help="Run this module only; may be repeated.",
+)
+@click.option("--quick", is_flag=True, help="Short forms, to see that all runs.")
+def main(seed: int, only: tuple[str, ...], quick: bool) -> None:
+    """Runs the measurements and writes build/bench.json.
+
+    The last line of the output is the result as one JSON object.
+
+    Example: python -m bramleydyke.bench --only placement --quick
+    """
+    click.echo(f"seed {seed}")
+    results = run_modules(only or MODULES, seed=seed, quick=quick)
+    RESULT_FILE.parent.mkdir(parents=True, exist_ok=True)
+    RESULT_FILE.write_text(json.dumps(results, indent=2, sort_keys=True) + "\n")
+    click.echo(json.dumps(results, sort_keys=True))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleydyke/bench/changes.py
@@ -0,0 +1,205 @@
+"""Requests that get no answer at planned changes and at a zone loss.
+
+Each scenario acts on a cluster of real cores under load. Every request is
+sent once, as a non-idempotent one, so that nothing but the system itself can
+save it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+
+import msgspec
+
+from bramleydyke.bench.cluster import Cluster, make_cluster
+from bramleydyke.bench.topology import DEPLOYMENTS, DRAIN_S, Deployment
+from bramleydyke.bench.workload import make_requests
+from bramleydyke.constants import SUSPECT_AFTER_S
+from bramleydyke.core.agent import Agent
+from bramleydyke.messages import Announcement, Envelope, SetDrain
+from bramleydyke.types import LOCAL_PLATFORM, MemberState, NodeId
+
+DURATION_S = 30.0
+CHANGE_AT_S = 10.0
+SPREAD_S = 3.0
+"""Longest time until a change is known to the last process."""
+
+LOADS = (0.5, 0.8, 0.95)
+SEEDS = 3
+PROCESSES = 8
+
+Scenario = Callable[[Cluster], None]
+
+
+def spread(cluster: Cluster, announcement: Announcement) -> None:
+    """Brings an announcement to each process at a time of its own."""
+    for node_id in list(cluster.nodes):
+        at = cluster.events.now + cluster.source.uniform(0.0, SPREAD_S)
+        cluster.events.at(
+            at, lambda node_id=node_id: cluster.tell(node_id, announcement)
+        )
+
+
+def rolling_replacement(cluster: Cluster) -> None:
+    """Replaces all balancers one after the other, each once it is idle."""
+    old = list(cluster.sprayed)
+
+    def replace_next() -> None:
+        if not old:
+            return
+        leaving = old.pop(0)
+        joining = f"{leaving.split('/')[1]}-new"
+        balancer = cluster.add_balancer(joining, zone=cluster.zones[leaving])
+        cluster.tell(balancer.node_id, cluster.newest_config())
+        for agent in cluster.agents():
+            cluster.tell(balancer.node_id, agent.announcement)
+        cluster.sprayed[cluster.sprayed.index(leaving)] = balancer.node_id
+        stop_when_idle(leaving)
+
+    def stop_when_idle(leaving: NodeId) -> None:
+        if cluster.nodes[leaving].placer.pending:
+            later = cluster.events.now + 0.05
+            cluster.events.at(later, lambda: stop_when_idle(leaving))
+            return
+        cluster.stop(leaving)
+        replace_next()
+
+    replace_next()
+
+
+def drain_upstream(cluster: Cluster) -> None:
+    """Drains one upstream; its process stops once it is idle."""
+    agent = cluster.agents()[0]
+    cluster.deliver(Envelope(LOCAL_PLATFORM, agent.node_id, SetDrain(draining=True)))
+    spread(cluster, agent.announcement)
+
+    def stop_when_idle() -> None:
+        if agent.idle():
+            stopped = msgspec.structs.replace(
+                agent.announcement, state=MemberState.STOPPED
+            )
+            cluster.stop(agent.node_id)
+            spread(cluster, stopped)
+        else:
+            cluster.events.at(cluster.events.now + 0.05, stop_when_idle)
+
+    cluster.events.at(cluster.events.now + SPREAD_S, stop_when_idle)
+
+
+def weight_change(cluster: Cluster) -> None:
+    """Doubles the weight of one upstream."""
+    weights = [2.0] + [1.0] * (cluster.deployment.upstreams - 1)
+    config = cluster.config(weights)
+    for node_id in list(cluster.nodes):
+        at = cluster.events.now + cluster.source.uniform(0.0, SPREAD_S)
+        cluster.events.at(at, lambda node_id=node_id: cluster.tell(node_id, config))
+
+
+def zone_loss(cluster: Cluster) -> None:
+    """Stops everything in one zone at once; suspected after a silence."""
+    lost = [node_id for node_id, zone in cluster.zones.items() if zone == 0]
+    agents = [cluster.nodes[node_id] for node_id in lost]
+    cluster.sprayed = [node_id for node_id in cluster.sprayed if node_id not in lost]
+    for node_id in lost:
+        cluster.stop(node_id)
+
+    def suspect() -> None:
+        for agent in agents:
+            if isinstance(agent, Agent):
+                state = MemberState.SUSPECT
+                spread(
+                    cluster, msgspec.structs.replace(agent.announcement, state=state)
+                )
+
+    cluster.events.at(cluster.events.now + SUSPECT_AFTER_S, suspect)
+
+
+PLANNED: dict[str, Scenario] = {
+    "rolling_replacement": rolling_replacement,
+    "drain_upstream": drain_upstream,
+    "weight_change": weight_change,
+}
+UNPLANNED: dict[str, Scenario] = {"zone_loss": zone_loss}
+CONTROL: dict[str, Scenario] = {"no_change": lambda cluster: None}
+SCENARIOS = PLANNED | UNPLANNED | CONTROL
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeJob:
+    """One scenario at one service and load."""
+
+    scenario: str
+    deployment: Deployment
+    load: float
+    seed: int
+
+
+def run_change(job: ChangeJob) -> tuple[ChangeJob, Counter[str]]:
+    """Runs a scenario; returns the counts of its requests."""
+    requests = make_requests(
+        job.deployment, load=job.load, duration_s=DURATION_S, seed=job.seed
+    )
+    cluster = make_cluster(job.deployment, requests, seed=job.seed)
+    scenario = SCENARIOS[job.scenario]
+    cluster.events.at(CHANGE_AT_S, lambda: scenario(cluster))
+    cluster.events.run(DURATION_S + DRAIN_S)
+    return job, cluster.tally.counts
+
+
+def measure(*, seed: int, quick: bool = False) -> dict[str, object]:
+    """Runs all scenarios; counts requests without an answer.
+
+    A request that is refused as not run got no answer either and counts as
+    broken; ``refused`` tells the reasons that callers were given.
+
+    Args:
+        seed: First of the three seeds.
+        quick: One seed instead of three.
+    """
+    jobs = [
+        ChangeJob(scenario, deployment, load, seed + index)
+        for scenario in SCENARIOS
+        for deployment in DEPLOYMENTS
+        for load in LOADS
+        for index in range(1 if quick else SEEDS)
+    ]
+    random.Random(seed).shuffle(jobs)
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        results = list(pool.map(run_change, jobs))
+    rows = _rows(results)
+    planned = sum(row["broken"] for row in rows if row["scenario"] in PLANNED)
+    return {"broken_flows_planned": planned, "changes": rows}
+
+
+def _rows(
+    results: Iterable[tuple[ChangeJob, Counter[str]]],
+) -> list[dict[str, object]]:
+    totals: dict[tuple[str, str, float], Counter[str]] = {}
+    for job, counts in results:
+        key = job.scenario, job.deployment.name, job.load
+        totals.setdefault(key, Counter()).update(counts)
+    return [_row(*key, counts) for key, counts in sorted(totals.items())]
+
+
+def _row(
+    scenario: str, service: str, load: float, counts: Counter[str]
+) -> dict[str, object]:
+    prefix = "refused_to_caller."
+    refused = {
+        name.removeprefix(prefix): count
+        for name, count in sorted(counts.items())
+        if name.startswith(prefix)
+    }
+    return {
+        "scenario": scenario,
+        "service": service,
+        "load": load,
+        "requests": counts["requests"],
+        "broken": counts["requests"] - counts["answered"],
+        "refused": refused,
+        "ran_twice": counts["ran_twice"],
+    }
--- a/src/bramleydyke/bench/cluster.py
+++ b/src/bramleydyke/bench/cluster.py
@@ -59,7 +59,7 @@
         sprayed: Balancers that the fabric sends new requests to.
         running: Start of each request at each agent's upstream.
         run: Requests that have started, to find any that run twice.
-        generation: Newest configuration that was put into force.
+        configs: Configurations that were put into force, newest last.
     """
 
     deployment: Deployment
@@ -72,7 +72,7 @@
     sprayed: list[NodeId] = field(default_factory=list)
     running: dict[tuple[NodeId, RequestId], float] = field(default_factory=dict)
     run: set[int] = field(default_factory=set)
-    generation: int = 0
+    configs: list[ConfigDelta] = field(default_factory=list)
     _last_delivery: dict[tuple[NodeId, NodeId], float] = field(default_factory=dict)
     _wake_at: dict[NodeId, float] = field(default_factory=dict)
 
@@ -120,8 +120,8 @@
         return [node for node in self.nodes.values() if isinstance(node, Agent)]
 
     def config(self, weights: Iterable[float]) -> ConfigDelta:
-        """Returns the next generation of the configuration."""
-        self.generation += 1
+        """Puts the next generation of the configuration into force."""
+        generation = Generation(len(self.configs) + 1)
         service = ServiceConfig(
             service_id=self.service_id,
             partner_id=PARTNER,
@@ -136,14 +136,27 @@
                 )
                 for number, weight in enumerate(weights)
             ),
-            changed_at=Generation(self.generation),
+            changed_at=generation,
         )
-        return ConfigDelta(
+        config = ConfigDelta(
             partner_id=PARTNER,
             base=Generation(0),
-            generation=Generation(self.generation),
+            generation=generation,
             services=(service,),
         )
+        self.configs.append(config)
+        return config
+
+    def newest_config(self) -> ConfigDelta:
+        """Returns the configuration that was put into force last."""
+        return self.configs[-1]
+
+    def stop(self, node_id: NodeId) -> None:
+        """Stops a process and, for an agent, its upstream."""
+        del self.nodes[node_id]
+        stopped = [key for key in self.running if key[0] == node_id]
+        for agent, request_id in stopped:
+            self._stop(agent, request_id)
 
     def tell(self, node_id: NodeId, payload: ConfigDelta | Announcement) -> None:
         """Hands a process what dissemination would bring it."""
--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -12,10 +12,31 @@
 """Largest datagram that is sent or accepted."""
 
 CHAIN_LENGTH = 4
-"""Candidates that are offered a request in the first pass."""
+"""Candidates of a round: one gets the offer, the others are probed.
 
-QUEUE_PER_SLOT = 8
-"""Requests that an agent queues for each slot of its upstream."""
+Two candidates raise the imbalance, more than four hardly lower the wait.
+"""
+
+PROBE_FROM_BACKLOG = 0.1
+"""Estimated backlog from which an offer and the probe go out together.
+
+Below it the probe waits for a refusal: at half load that saves a quarter of
+the messages.
+"""
+
+PROBE_TIMEOUT_S = 0.025
+"""Wait for backlog reports: two round trips between zones of a region."""
+
+IDLE_FANOUT = 2
+"""Other agents that an agent with a free slot asks for a queued request."""
+
+QUEUE_PER_SLOT = 256
+"""Requests that an agent queues for each slot of its upstream.
+
+Bounds the memory. The deadline bounds the wait: an agent refuses at once when
+the expected wait is longer. With 8, services at 95% load refused requests
+while one upstream drained that could have been answered in time.
+"""
 
 REQUEST_TIMEOUT_S = 30.0
 """Deadline of a request whose caller gives none."""
@@ -38,6 +59,13 @@
 OFFER_TIMEOUT_S = 0.15
 """Wait for the reply to an offer before the same agent is asked again."""
 
+FIRST_REPEAT_S = 0.03
+"""Wait before the first repeat of an offer: three round trips between zones.
+
+A lost offer delays the request by this. Repeats are idempotent, so a reply
+that is merely late costs one more message.
+"""
+
 ACCEPTED_POLL_S = 1.0
 """Interval at which the agent of an accepted request is asked again."""
 
--- a/src/bramleydyke/core/admission.py
+++ b/src/bramleydyke/core/admission.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import deque
+import bisect
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bramleydyke.constants import QUEUE_PER_SLOT
@@ -13,6 +14,16 @@
 """Weight of the newest service time in the running mean."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Queued:
+    since: float
+    request_id: RequestId
+
+
+def _since(item: _Queued) -> float:
+    return item.since
+
+
 @dataclass(slots=True, kw_only=True)
 class Admission:
     """Decides whether the upstream takes one more request.
@@ -20,14 +31,14 @@
     Attributes:
         slots: Requests that the upstream serves at the same time.
         running: Start time of each request at the upstream.
-        queue: Requests that wait for a slot, oldest first.
+        queue: Requests that wait for a slot, the longest wait first.
         service_time: Running mean in seconds, None before the first end.
     """
 
     slots: int
     queue_per_slot: int = QUEUE_PER_SLOT
     running: dict[RequestId, float] = field(default_factory=dict)
-    queue: deque[RequestId] = field(default_factory=deque)
+    queue: list[_Queued] = field(default_factory=list)
     service_time: float | None = None
 
     def backlog(self) -> float:
@@ -60,15 +71,20 @@
             return 0.0
         return (len(self.queue) + 1) / self.slots * self.service_time
 
-    def enqueue(self, request_id: RequestId) -> None:
-        """Adds a request at the end of the queue."""
-        self.queue.append(request_id)
+    def enqueue(self, request_id: RequestId, *, since: float) -> None:
+        """Adds a request to the queue, behind those that have waited longer.
+
+        Args:
+            request_id: The request.
+            since: When its placer got it, in seconds of this agent's clock.
+        """
+        bisect.insort(self.queue, _Queued(since, request_id), key=_since)
 
     def start_next(self, *, now: float) -> RequestId | None:
         """Moves the oldest queued request to a free slot, if there is one."""
         if not self.queue or len(self.running) >= self.slots:
             return None
-        request_id = self.queue.popleft()
+        request_id = self.queue.pop(0).request_id
         self.running[request_id] = now
         return request_id
 
@@ -81,8 +97,17 @@
         mean = taken if self.service_time is None else self.service_time
         self.service_time = mean + (taken - mean) * _SERVICE_TIME_WEIGHT
 
+    def queued(self) -> list[RequestId]:
+        """Returns the requests that wait for a slot, in queue order."""
+        return [item.request_id for item in self.queue]
+
+    def oldest_queued(self, movable: Callable[[RequestId], bool]) -> RequestId | None:
+        """Returns the movable request that has waited longest in the queue."""
+        if len(self.running) < self.slots:
+            return None
+        return next(filter(movable, self.queued()), None)
+
     def drop(self, request_id: RequestId) -> None:
         """Removes a request from the queue, or frees its slot unlearned."""
         self.running.pop(request_id, None)
-        if request_id in self.queue:
-            self.queue.remove(request_id)
+        self.queue = [item for item in self.queue if item.request_id != request_id]
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -18,9 +18,12 @@
     Accepted,
     Announcement,
     Answer,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     Envelope,
+    IdleNotice,
     Offer,
     RecordQuery,
     RecordReply,
@@ -105,12 +108,14 @@
             started_at=now,
             admission=Admission(slots=slots),
             peers=self.peers,
+            usable_peers=self.usable_peers,
             placer=self.placer,
         )
         server = self.requests
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
             CancelRequest: lambda who, msg, now: server.cancel(who, msg, now=now),
+            IdleNotice: lambda _, msg, now: server.release(msg, now=now),
             RecordQuery: lambda who, msg, now: server.queried(who, msg, now=now),
             RecordReply: lambda _, msg, now: server.replied(msg, now=now),
             RequestDone: lambda _, msg, now: server.done(msg, now=now),
@@ -120,6 +125,10 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            BacklogQuery: lambda who, msg, now: server.probed(who, msg, now=now),
+            BacklogReport: lambda who, msg, now: self.placer.reported(
+                who, msg, now=now
+            ),
             ConfigDelta: self._config_delta,
             Announcement: self._peer_announced,
             SetDrain: self._set_drain,
@@ -205,9 +214,9 @@
         return []
 
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
-        self.requests.draining = message.draining
+        moved = self.requests.set_draining(message.draining, now=now)
         state = MemberState.DRAINING if message.draining else MemberState.RUNNING
         self.announcement = msgspec.structs.replace(
             self.announcement, state=state, revision=self.announcement.revision + 1
         )
-        return self.announce()
+        return self.announce() + moved
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -15,6 +15,7 @@
     Accepted,
     Announcement,
     Answer,
+    BacklogReport,
     Cancelled,
     Envelope,
     Refusal,
@@ -79,6 +80,9 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            BacklogReport: lambda who, msg, now: self.placer.reported(
+                who, msg, now=now
+            ),
             ConfigDelta: self._config_delta,
             Announcement: self._announcement,
         }
--- /dev/null
+++ b/src/bramleydyke/core/candidates.py
@@ -0,0 +1,103 @@
+"""Which agents a request may be offered to, and in which order."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from bramleydyke.constants import CHAIN_LENGTH
+from bramleydyke.core.load import LoadView
+from bramleydyke.core.members import Members
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.types import ServiceId, UpstreamId, agent_node
+
+if TYPE_CHECKING:
+    from bramleydyke.core.placement import Placement
+
+MAX_LIMITED_OFFERS = 4
+"""Offers of a round with a limit; the next is held by the queue bound only."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Candidates:
+    """Chooses agents for the placements of one process.
+
+    Attributes:
+        members: Agents that the process knows.
+        usable: Upstreams of a service that may take new work.
+        weights: Weights of the upstreams that a request may go to at a time.
+        load: What the process knows of the agents' backlogs.
+        chain_length: Candidates of one round.
+        max_limited_offers: Offers of one round with a limit between 1 and
+            the queue bound.
+    """
+
+    members: Members
+    usable: Callable[[ServiceId], Iterable[UpstreamId]]
+    weights: Callable[[Placement, float], dict[UpstreamId, float]]
+    random_source: random.Random
+    load: LoadView = field(default_factory=LoadView)
+    chain_length: int = CHAIN_LENGTH
+    max_limited_offers: int = MAX_LIMITED_OFFERS
+
+    def choose(self, placement: Placement, *, now: float) -> list[UpstreamId]:
+        """Returns the candidates of a round, the best by estimate first.
+
+        Agents that left an offer unanswered come last: until membership
+        reports an agent as gone, each non-idempotent request it gets is lost.
+        """
+        weights = self.weights(placement, now)
+        usable = set(self.usable(placement.service_id)) - placement.excluded
+        if placement.keyed:
+            key = placement.request_id.encode()
+            return [up for up in owner_order(key, weights) if up in usable][:1]
+        salt = self.random_source.randbytes(8)
+        order = [up for up in owner_order(salt, weights) if up in usable]
+        silent = {up for up in order if self._silent(placement, up)}
+        order.sort(key=lambda up: up in silent)
+        return sorted(
+            order[: self.chain_length],
+            key=lambda up: (
+                up in silent,
+                self.estimate(placement, up, now=now) / weights[up],
+            ),
+        )
+
+    def _silent(self, placement: Placement, up: UpstreamId) -> bool:
+        return agent_node(placement.service_id, up) in self.load.silent
+
+    def estimate(self, placement: Placement, up: UpstreamId, *, now: float) -> float:
+        """Returns the expected backlog per slot of an agent."""
+        node_id = agent_node(placement.service_id, up)
+        slots = self.slots(placement.service_id, up)
+        return self.load.estimate(node_id, slots=slots, now=now)
+
+    def slots(self, service_id: ServiceId, up: UpstreamId) -> int:
+        """Returns the slots that an agent announced."""
+        member = self.members.agent(service_id, up)
+        return 1 if member is None else member.slots
+
+    def best_known(
+        self, placement: Placement, *, now: float
+    ) -> tuple[UpstreamId, float | None] | None:
+        """Returns the agent with the smallest known backlog, and the limit.
+
+        The limit lets an agent refuse whose backlog has grown above that of
+        the next best candidate. One with a free slot never refuses.
+        """
+        known = placement.backlogs
+        if placement.first_pass_only:
+            known = {up: load for up, load in known.items() if load < 1.0}
+        if not known:
+            return None
+        weights = self.weights(placement, now)
+        best = min(known, key=lambda up: known[up] / weights.get(up, 1.0))
+        if placement.first_pass_only:
+            return best, 1.0
+        others = [load for up, load in known.items() if up != best]
+        if not others or placement.limited_offers >= self.max_limited_offers:
+            return best, None
+        slots = self.slots(placement.service_id, best)
+        return best, max(1.0, min(others) + 0.5 / slots)
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -9,23 +9,28 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 
 from bramleydyke.constants import (
     ACCEPTED_POLL_S,
-    CHAIN_LENGTH,
+    FIRST_REPEAT_S,
     OFFER_TIMEOUT_S,
+    PROBE_FROM_BACKLOG,
+    PROBE_TIMEOUT_S,
     SILENT_OFFERS,
 )
+from bramleydyke.core.candidates import Candidates
 from bramleydyke.core.load import LoadView
 from bramleydyke.core.members import Members
-from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.probes import Probe
 from bramleydyke.core.retry import RetryBudget, backoff
 from bramleydyke.core.timers import Timers
 from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
 from bramleydyke.messages import (
     Accepted,
     Answer,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     Count,
@@ -57,9 +62,14 @@
     """One request on its way to an agent.
 
     Attributes:
+        placed_at: Start of the placement, in seconds.
         candidates: Upstreams not yet asked in this round, best first.
-        refused: Backlog that each upstream told when it was busy.
+        backlogs: Backlog of upstreams that reported it or were busy with it.
+        probe: Reports that are awaited from the other candidates.
+        probed: True once a probe is of no more use in this round.
+        limited_offers: Offers of this round to upstreams in ``backlogs``.
         upstream_id: The upstream that has the request now, if any.
+        repeated: True once the present offer was repeated early.
         accepted: True once the agent has said that it has the request.
         may_have_run: True once an agent was left that did not refuse it.
         excluded: Upstreams that said they are leaving.
@@ -79,13 +89,18 @@
     payload: bytes
     first_pass_only: bool = False
     candidates: list[UpstreamId] = field(default_factory=list)
-    refused: dict[UpstreamId, float] = field(default_factory=dict)
+    placed_at: float = 0.0
+    backlogs: dict[UpstreamId, float] = field(default_factory=dict)
+    probe: Probe | None = None
+    probed: bool = False
+    limited_offers: int = 0
     upstream_id: UpstreamId | None = None
     incarnation: Incarnation = Incarnation(0)
     backlog_limit: float | None = None
     ask: int = 0
     silent: int = 0
     rounds: int = 0
+    repeated: bool = False
     accepted: bool = False
     cancelling: bool = False
     may_have_run: bool = False
@@ -105,30 +120,47 @@
     Attributes:
         node_id: This process.
         members: Agents it knows.
-        usable: Upstreams of a service that may take new work.
-        weights: Weights of the upstreams that a request may go to at a time.
+        candidates: Chooses agents.
+        load: What it knows of the agents' backlogs.
         ended: Called at the end of each placement.
         pending: Placements that have not ended, by number.
+        probes: Whether the other candidates are asked for their backlog.
+        first_repeat_s: Wait before the first repeat of an offer.
     """
 
     node_id: NodeId
     members: Members
-    usable: Callable[[ServiceId], Iterable[UpstreamId]]
-    weights: Callable[[Placement, float], dict[UpstreamId, float]]
+    usable: InitVar[Callable[[ServiceId], Iterable[UpstreamId]]]
+    weights: InitVar[Callable[[Placement, float], dict[UpstreamId, float]]]
     ended: Ended
     random_source: random.Random
-    load: LoadView = field(default_factory=LoadView)
+    candidates: Candidates = field(init=False)
+    load: LoadView = field(init=False)
     budgets: dict[ServiceId, RetryBudget] = field(default_factory=dict)
     pending: dict[int, Placement] = field(default_factory=dict)
-    chain_length: int = CHAIN_LENGTH
+    probes: bool = True
+    first_repeat_s: float = FIRST_REPEAT_S
     timers: Timers[int] = field(default_factory=Timers)
 
+    def __post_init__(
+        self,
+        usable: Callable[[ServiceId], Iterable[UpstreamId]],
+        weights: Callable[[Placement, float], dict[UpstreamId, float]],
+    ) -> None:
+        self.candidates = Candidates(
+            members=self.members,
+            usable=usable,
+            weights=weights,
+            random_source=self.random_source,
+        )
+        self.load = self.candidates.load
+
     def place(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Starts a placement."""
         self.pending[placement.number] = placement
+        placement.placed_at = now
         self.budget(placement.service_id).request(now=now)
-        self._fill(placement, now=now)
-        return self._next(placement, now=now)
+        return self._begin_round(placement, now=now)
 
     def budget(self, service_id: ServiceId) -> RetryBudget:
         """Returns the retry budget of a service."""
@@ -159,7 +191,9 @@
         if placement is None or message.incarnation != placement.incarnation:
             return []
         self._note_load(placement, message.backlog, now=now)
-        placement.accepted = True
+        if not placement.accepted and placement.upstream_id is not None:
+            placement.accepted = True
+            self.load.confirmed(agent_node(placement.service_id, placement.upstream_id))
         placement.silent = 0
         self._wake_at(placement, now + ACCEPTED_POLL_S)
         return []
@@ -210,40 +244,96 @@
             return None
         return agent_node(placement.service_id, placement.upstream_id)
 
-    def _fill(self, placement: Placement, *, now: float) -> None:
-        """Chooses the candidates of a round."""
-        weights = self.weights(placement, now)
-        usable = set(self.usable(placement.service_id)) - placement.excluded
-        key = placement.request_id.encode()
-        if placement.keyed:
-            order = [up for up in owner_order(key, weights) if up in usable]
-            placement.candidates = order[:1]
-            placement.refused = {}
-            return
-        salt = self.random_source.randbytes(8)
-        order = [up for up in owner_order(salt, weights) if up in usable]
-        chain = order[: self.chain_length]
-        placement.refused = {}
-        placement.candidates = sorted(
-            chain, key=lambda up: self._estimate(placement, up, now) / weights[up]
+    def _begin_round(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Offers the request to the best candidate; probes the others.
+
+        If that candidate is probably busy the probe goes out at the same
+        time, which saves a round trip; else only after a refusal.
+        """
+        placement.candidates = self.candidates.choose(placement, now=now)
+        placement.backlogs = {}
+        placement.limited_offers = 0
+        placement.probed = placement.keyed or not self.probes
+        if placement.probed or not self._likely_busy(placement, now=now):
+            return self._next(placement, now=now)
+        first = placement.candidates.pop(0)
+        queries = self._probe(placement, now=now)
+        return self._offer(placement, first, 1.0, now=now) + queries
+
+    def _likely_busy(self, placement: Placement, *, now: float) -> bool:
+        """Tells whether a probe will probably be needed."""
+        if len(placement.candidates) < 2:
+            return False
+        best = placement.candidates[0]
+        estimate = self.candidates.estimate(placement, best, now=now)
+        return estimate >= PROBE_FROM_BACKLOG
+
+    def _probe(self, placement: Placement, *, now: float) -> list[Envelope]:
+        """Asks the candidates that have no offer for their backlog."""
+        placement.probed = True
+        placement.ask += 1
+        placement.probe = Probe(
+            ask=placement.ask,
+            until=now + PROBE_TIMEOUT_S,
+            awaited=set(placement.candidates),
         )
+        query = BacklogQuery(
+            placement=placement.number,
+            ask=placement.ask,
+            service_id=placement.service_id,
+        )
+        return [
+            Envelope(self.node_id, agent_node(placement.service_id, up), query)
+            for up in placement.candidates
+        ]
 
-    def _estimate(self, placement: Placement, up: UpstreamId, now: float) -> float:
-        member = self.members.agent(placement.service_id, up)
-        slots = 1 if member is None else member.slots
-        node_id = agent_node(placement.service_id, up)
-        return self.load.estimate(node_id, slots=slots, now=now)
+    def reported(
+        self, sender: NodeId, report: BacklogReport, *, now: float
+    ) -> list[Envelope]:
+        """Takes a backlog report; goes on if it was the last one needed."""
+        self.load.report(sender, report.backlog, now=now)
+        placement = self.pending.get(report.placement)
+        if placement is None or placement.probe is None:
+            return []
+        slots = self.candidates.slots(placement.service_id, report.upstream_id)
+        unconfirmed = self.load.unconfirmed[sender] / slots
+        placement.probe.take(report, unconfirmed=unconfirmed)
+        if placement.upstream_id is not None or placement.probe.awaited:
+            return []
+        return self._next(placement, now=now)
+
+    def _end_probe(self, placement: Placement) -> None:
+        """Takes over the reports that came.
+
+        Candidates that did not report are left out, unless none did.
+        """
+        probe = placement.probe
+        if probe is None:
+            return
+        placement.probe = None
+        placement.excluded |= probe.draining
+        placement.backlogs |= probe.backlogs
+        if probe.backlogs:
+            placement.candidates = []
 
     def _next(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Offers the request to the next candidate, or ends the round."""
+        if placement.probe is not None and placement.probe.pending(now=now):
+            self._wake_at(placement, placement.probe.until)
+            return []
+        self._end_probe(placement)
+        if placement.candidates and placement.backlogs and not placement.probed:
+            self._wake_at(placement, now + PROBE_TIMEOUT_S)
+            return self._probe(placement, now=now)
         if placement.candidates:
             upstream_id = placement.candidates.pop(0)
             limit = None if placement.keyed else 1.0
             return self._offer(placement, upstream_id, limit, now=now)
-        if placement.refused and not placement.first_pass_only:
-            upstream_id = min(placement.refused, key=placement.refused.__getitem__)
-            del placement.refused[upstream_id]
-            return self._offer(placement, upstream_id, None, now=now)
+        choice = self.candidates.best_known(placement, now=now)
+        if choice is not None:
+            del placement.backlogs[choice[0]]
+            placement.limited_offers += 1
+            return self._offer(placement, *choice, now=now)
         if placement.first_pass_only:
             return self._end(placement, placement.last_kind, now=now)
         return self._next_round(placement, now=now)
@@ -275,6 +365,7 @@
         placement.incarnation = self.members.incarnation(node_id)
         placement.backlog_limit = backlog_limit
         placement.silent = 0
+        placement.repeated = self.first_repeat_s <= 0
         placement.accepted = False
         self.load.started(node_id)
         return self._send_current(placement, now=now)
@@ -284,6 +375,8 @@
         placement.ask += 1
         wait = ACCEPTED_POLL_S if placement.accepted else OFFER_TIMEOUT_S
         wait *= 2 ** min(placement.silent, 3)
+        if not placement.accepted and not placement.repeated:
+            wait = self.first_repeat_s
         self._wake_at(placement, now + wait)
         message: Payload
         if placement.cancelling:
@@ -308,6 +401,7 @@
                 ttl=placement.deadline - now,
                 backlog_limit=placement.backlog_limit,
                 payload=placement.payload,
+                waited=now - placement.placed_at,
             )
         receiver = self._node(placement)
         assert receiver is not None
@@ -316,9 +410,16 @@
     def _due(self, placement: Placement, *, now: float) -> list[Envelope]:
         if now >= placement.deadline:
             return self._overdue(placement, now=now)
-        if placement.upstream_id is None:
-            self._fill(placement, now=now)
+        if placement.probe is not None and placement.upstream_id is None:
             return self._next(placement, now=now)
+        if placement.upstream_id is None:
+            return self._begin_round(placement, now=now)
+        if not placement.repeated and not placement.accepted:
+            placement.repeated = True
+            self.load.silent.add(
+                agent_node(placement.service_id, placement.upstream_id)
+            )
+            return self._send_current(placement, now=now)
         placement.silent += 1
         if self._lost(placement):
             return self._after_loss(placement, ErrorKind.AGENT_SILENT, now=now)
@@ -365,9 +466,10 @@
         self._leave(placement)
         placement.may_have_run = True
         placement.last_kind = kind
-        if not placement.candidates:
-            self._fill(placement, now=now)
-        return self._count(kind, "retried") + self._next(placement, now=now)
+        counted = self._count(kind, "retried")
+        if not placement.candidates and not placement.backlogs:
+            return counted + self._begin_round(placement, now=now)
+        return counted + self._next(placement, now=now)
 
     def _after_refusal(
         self, placement: Placement, message: Refusal, *, now: float
@@ -387,7 +489,12 @@
         elif message.kind is ErrorKind.DRAINING:
             placement.excluded.add(upstream_id)
         elif message.kind is ErrorKind.BUSY:
-            placement.refused[upstream_id] = message.backlog
+            placement.backlogs[upstream_id] = message.backlog
+        elif message.kind is ErrorKind.RELEASED and message.free is not None:
+            placement.backlogs = {upstream_id: message.backlog}
+            slots = self.candidates.slots(placement.service_id, message.free)
+            limit = message.backlog + 1 / slots
+            return self._offer(placement, message.free, limit, now=now)
         elif message.kind is ErrorKind.DEADLINE:
             return self._end(placement, message.kind, now=now)
         return self._next(placement, now=now)
@@ -401,6 +508,8 @@
         node_id = self._node(placement)
         if node_id is not None:
             self.load.ended(node_id)
+            if not placement.accepted:
+                self.load.confirmed(node_id)
         placement.upstream_id = None
 
     def _end(
--- a/src/bramleydyke/core/records.py
+++ b/src/bramleydyke/core/records.py
@@ -65,6 +65,8 @@
     answer: bytes | None = None
     failure: ErrorKind = ErrorKind.UPSTREAM_FAILED
     query_ends_at: float = 0.0
+    since: float = 0.0
+    """When the placer got the request, by this agent's clock."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from bramleydyke.constants import (
+    IDLE_FANOUT,
     OFFER_TIMEOUT_S,
     QUERY_TIMEOUT_S,
     RECORD_RETENTION_S,
@@ -25,10 +26,13 @@
 from bramleydyke.messages import (
     Accepted,
     Answer,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     Count,
     Envelope,
+    IdleNotice,
     Offer,
     Payload,
     RecordQuery,
@@ -73,6 +77,7 @@
         started_at: Start of this incarnation, in seconds.
         peers: Other upstreams that may know a request id: declared now or at
             an earlier generation still in history.
+        usable_peers: Other upstreams that may take new work.
         placer: Places keyed requests when this upstream has no free slot.
         draining: True once the upstream takes no new work.
         records: What this agent knows of each request.
@@ -86,8 +91,10 @@
     started_at: float
     admission: Admission
     peers: Callable[[float], set[UpstreamId]]
+    usable_peers: Callable[[ServiceId], list[UpstreamId]]
     placer: Placer
     draining: bool = False
+    idle_fanout: int = IDLE_FANOUT
     records: RequestRecords = field(default_factory=RequestRecords)
     placements: dict[int, RequestId] = field(default_factory=dict)
     timers: Timers[RequestId] = field(default_factory=Timers)
@@ -138,6 +145,21 @@
         record = self._add_record(asker, offer, RecordState.QUEUED, now=now)
         return self._enqueue(record, now=now)
 
+    def probed(
+        self, sender: NodeId, query: BacklogQuery, *, now: float
+    ) -> list[Envelope]:
+        """Reports the backlog to a placer that looks for an agent."""
+        if query.service_id != self.service_id:
+            return []
+        report = BacklogReport(
+            placement=query.placement,
+            ask=query.ask,
+            upstream_id=self.upstream_id,
+            backlog=self.admission.backlog(),
+            draining=self.draining,
+        )
+        return [Envelope(self.node_id, sender, report)]
+
     def _refusal_before_record(self, asker: Asker, offer: Offer) -> ErrorKind | None:
         if (offer.service_id, offer.partner_id) != (self.service_id, self.partner_id):
             return ErrorKind.WRONG_SERVICE
@@ -177,6 +199,7 @@
             idempotent=offer.idempotent,
             offer=offer,
             askers={asker: offer.ask},
+            since=now - offer.waited,
         )
         self.records.add(record)
         self.timers.set(record.request_id, record.deadline)
@@ -184,7 +207,7 @@
 
     def _enqueue(self, record: Record, *, now: float) -> list[Envelope]:
         record.state = RecordState.QUEUED
-        self.admission.enqueue(record.request_id)
+        self.admission.enqueue(record.request_id, since=record.since)
         self.timers.set(record.request_id, record.deadline)
         started = self._start(now=now)
         return started + [self._accepted(record, asker) for asker in record.askers]
@@ -218,7 +241,8 @@
         if record is None:
             return []
         self.admission.finish(message.request_id, now=now)
-        return self._finish(record, message.payload, now=now) + self._start(now=now)
+        finished = self._finish(record, message.payload, now=now)
+        return finished + self._start(now=now) + self._notify_idle()
 
     def failed(self, message: RequestFailed, *, now: float) -> list[Envelope]:
         """Tells all who wait that the outcome is unknown."""
@@ -238,6 +262,69 @@
         dropped = self._drop(record, ErrorKind.SHED, now=now)
         return dropped + self._start(now=now)
 
+    # Queued requests that other agents have room for.
+
+    def set_draining(self, draining: bool, *, now: float) -> list[Envelope]:
+        """Starts or ends a drain; a drain moves the queue to other agents.
+
+        Without that a long queue would bring the upstream new work after
+        ``DRAIN_NOTICE_S``. Keyed requests whose home finds no free slot
+        elsewhere stay.
+        """
+        self.draining = draining
+        if not draining:
+            return []
+        queued = [
+            self.records.records[request_id] for request_id in self.admission.queued()
+        ]
+        return [out for record in queued for out in self._move(record, now=now)]
+
+    def _move(self, record: Record, *, now: float) -> list[Envelope]:
+        self.admission.drop(record.request_id)
+        if not self._movable(record.request_id):
+            return self._place(record, now=now)
+        return self._drop(record, ErrorKind.DRAINING, now=now)
+
+    def _notify_idle(self) -> list[Envelope]:
+        """Asks some other agents for a queued request if a slot is free."""
+        if self.draining or not self.admission.has_free_slot():
+            return []
+        peers = self.usable_peers(self.service_id)
+        count = min(self.idle_fanout, len(peers))
+        asked = self.placer.random_source.sample(peers, count)
+        notice = IdleNotice(service_id=self.service_id, upstream_id=self.upstream_id)
+        return [
+            Envelope(self.node_id, agent_node(self.service_id, peer), notice)
+            for peer in asked
+        ]
+
+    def release(self, notice: IdleNotice, *, now: float) -> list[Envelope]:
+        """Refuses a queued request, so that its placer offers it elsewhere.
+
+        Keyed requests stay: their home keeps the record.
+        """
+        if notice.service_id != self.service_id:
+            return []
+        request_id = self.admission.oldest_queued(self._movable)
+        if request_id is None:
+            return []
+        record = self.records.records[request_id]
+        self.admission.drop(request_id)
+        self.timers.cancel(request_id)
+        self.records.remove(request_id)
+        kind = ErrorKind.RELEASED
+        out = [self._to_metrics(kind)]
+        for asker, ask in record.askers.items():
+            self.records.refuse(request_id, asker, ask=ask, kind=kind, now=now)
+            out.append(
+                self._refusal(asker, request_id, ask, kind, free=notice.upstream_id)
+            )
+        return out
+
+    def _movable(self, request_id: RequestId) -> bool:
+        offer = self.records.records[request_id].offer
+        return offer is not None and not offer.keyed
+
     def _running(self, request_id: RequestId) -> Record | None:
         record = self.records.get(request_id)
         if record is None or record.state is not RecordState.RUNNING:
@@ -459,6 +546,9 @@
         """Runs a keyed request here, or at another agent with a free slot."""
         if self.admission.has_free_slot():
             return self._enqueue(record, now=now)
+        return self._place(record, now=now)
+
+    def _place(self, record: Record, *, now: float) -> list[Envelope]:
         offer = record.offer
         assert offer is not None
         number = next(self._numbers)
@@ -530,11 +620,10 @@
         now: float,
     ) -> list[Envelope]:
         self.records.refuse(request_id, asker, ask=ask, kind=kind, now=now)
-        count = Count(name=counter_name(kind))
-        return [
-            self._refusal(asker, request_id, ask, kind),
-            Envelope(self.node_id, LOCAL_METRICS, count),
-        ]
+        return [self._refusal(asker, request_id, ask, kind), self._to_metrics(kind)]
+
+    def _to_metrics(self, kind: ErrorKind) -> Envelope:
+        return Envelope(self.node_id, LOCAL_METRICS, Count(name=counter_name(kind)))
 
     def _refuse_all(
         self,
@@ -565,6 +654,7 @@
         kind: ErrorKind,
         *,
         home: UpstreamId | None = None,
+        free: UpstreamId | None = None,
     ) -> Envelope:
         refusal = Refusal(
             request_id=request_id,
@@ -574,6 +664,7 @@
             backlog=self.admission.backlog(),
             incarnation=self.incarnation,
             home=home,
+            free=free,
         )
         return Envelope(self.node_id, asker.node_id, refusal)
 
--- a/src/bramleydyke/errors.py
+++ b/src/bramleydyke/errors.py
@@ -21,6 +21,7 @@
     WRONG_SERVICE = "wrong_service"
     STALE_GENERATION = "stale_generation"
     MOVED = "moved"
+    RELEASED = "released"
     FORGOTTEN = "forgotten"
     CANCELLED = "cancelled"
     RETRY_BUDGET = "retry_budget"
@@ -76,6 +77,7 @@
     ErrorKind.WRONG_SERVICE: _not_run(421, "Check the service address."),
     ErrorKind.STALE_GENERATION: _not_run(503, "Send the request again."),
     ErrorKind.MOVED: _not_run(503, "Send the request again."),
+    ErrorKind.RELEASED: _not_run(503, "Send the request again."),
     ErrorKind.FORGOTTEN: _unknown(502, "Check the effect before sending again."),
     ErrorKind.CANCELLED: _not_run(499, "Nothing: the caller cancelled."),
     ErrorKind.RETRY_BUDGET: _not_run(503, "Send the request again after a pause."),
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -105,6 +105,8 @@
     """Refuse if the backlog per slot is not below this; None: queue bound."""
 
     payload: bytes
+    waited: float = 0.0
+    """Seconds since the placer got the request; orders the agent's queue."""
 
 
 class Accepted(Message):
@@ -132,6 +134,9 @@
     home: UpstreamId | None = None
     """For ``MOVED``: the upstream whose agent holds the record."""
 
+    free: UpstreamId | None = None
+    """For ``RELEASED``: the upstream that asked for a queued request."""
+
 
 class Answer(Message):
     """The whole answer to a request."""
@@ -161,6 +166,33 @@
     """True: it did not run and will not run at this agent."""
 
 
+class BacklogQuery(Message):
+    """Asks an agent for its backlog before an offer."""
+
+    placement: int
+    ask: int
+    """Echoed in the report."""
+
+    service_id: ServiceId
+
+
+class BacklogReport(Message):
+    """An agent's backlog per slot; promises nothing."""
+
+    placement: int
+    ask: int
+    upstream_id: UpstreamId
+    backlog: float
+    draining: bool
+
+
+class IdleNotice(Message):
+    """An agent with a free slot asks another for a queued request."""
+
+    service_id: ServiceId
+    upstream_id: UpstreamId
+
+
 class RecordQuery(Message):
     """The home of a keyed request asks another agent of the service for it."""
 
