--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -20,6 +20,8 @@
     Accepted,
     Announcement,
     Answer,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     ConnectionAbort,
@@ -33,6 +35,7 @@
     FlowHint,
     FlowProbe,
     HeartbeatReply,
+    IdleNotice,
     MemberDelta,
     Offer,
     PacketAnswered,
@@ -136,6 +139,7 @@
             admission=Admission(slots=slots),
             peers=self.peers,
             all_running=self.all_running,
+            usable_peers=self.usable_peers,
             placer=self.placer,
         )
         self.flows = flows = FlowServer(
@@ -160,6 +164,7 @@
         self.handlers: dict[type, Handler] = {
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
             CancelRequest: lambda who, msg, now: server.cancel(who, msg, now=now),
+            IdleNotice: lambda _, msg, now: server.release(msg, now=now),
             RecordQuery: lambda who, msg, now: server.queried(who, msg, now=now),
             RecordReply: lambda _, msg, now: server.replied(msg, now=now),
             RequestDone: lambda _, msg, now: server.done(msg, now=now),
@@ -169,6 +174,10 @@
             Answer: lambda who, msg, now: self.placer.answered(who, msg, now=now),
             Refusal: lambda who, msg, now: self.placer.refused(who, msg, now=now),
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            BacklogQuery: lambda who, msg, now: server.probed(who, msg, now=now),
+            BacklogReport: lambda who, msg, now: self.placer.reported(
+                who, msg, now=now
+            ),
             PacketForward: lambda _, msg, now: flows.forwarded(msg, now=now),
             PacketAnswered: lambda _, msg, now: flows.answered(msg, now=now),
             FlowHint: lambda who, msg, now: flows.peers.hinted(who, msg, now=now),
@@ -298,17 +307,16 @@
         return []
 
     def _set_drain(self, _: NodeId, message: SetDrain, now: float) -> list[Envelope]:
-        return self._drained(self.link.set_drain(message, now=now))
+        return self._drained(self.link.set_drain(message, now=now), now=now)
 
     def _drain_order(
         self, sender: NodeId, order: DrainOrder, now: float
     ) -> list[Envelope]:
-        return self._drained(self.link.ordered(sender, order, now=now))
+        return self._drained(self.link.ordered(sender, order, now=now), now=now)
 
-    def _drained(self, out: list[Envelope]) -> list[Envelope]:
+    def _drained(self, out: list[Envelope], *, now: float) -> list[Envelope]:
         """Applies the drain state to requests, flows and streams."""
         draining = self.link.drain.draining
-        self.requests.draining = draining
         self.flows.table.draining = draining
         self.streams.draining = draining
-        return out
+        return out + self.requests.set_draining(draining, now=now)
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -19,6 +19,7 @@
     Accepted,
     Announcement,
     Answer,
+    BacklogReport,
     Cancelled,
     ConnectionAbort,
     ConnectionData,
@@ -182,6 +183,9 @@
             Answer: self._answered,
             Refusal: self._refused,
             Cancelled: lambda _, msg, now: self.placer.cancelled(msg, now=now),
+            BacklogReport: lambda who, msg, now: self.placer.reported(
+                who, msg, now=now
+            ),
         } | self.control.handlers()
         for kind in (SetDrain, DrainOrder):
             handle = self.handlers[kind]
--- a/src/bramleydyke/core/records.py
+++ b/src/bramleydyke/core/records.py
@@ -67,6 +67,8 @@
     failure: ErrorKind = ErrorKind.UPSTREAM_FAILED
     query_ends_at: float = 0.0
     never_ran: bool = False
+    since: float = 0.0
+    """When the placer got the request, by this agent's clock."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -13,6 +13,7 @@
 from bramleydyke.constants import (
     HEARTBEAT_S,
     HOME_DELAY_S,
+    IDLE_FANOUT,
     OFFER_TIMEOUT_S,
     QUERY_TIMEOUT_S,
     QUEUE_MARGIN_S,
@@ -28,10 +29,13 @@
 from bramleydyke.messages import (
     Accepted,
     Answer,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     Count,
     Envelope,
+    IdleNotice,
     Offer,
     Payload,
     RecordQuery,
@@ -77,6 +81,7 @@
         peers: Other upstreams that may know a request id: declared now or at
             an earlier generation still in history.
         all_running: Tells whether all of them are known to run.
+        usable_peers: Other upstreams that may take new work.
         placer: Places keyed requests when this upstream has no free slot.
         draining: True once the upstream takes no new work.
         records: What this agent knows of each request.
@@ -93,8 +98,10 @@
     admission: Admission
     peers: Callable[[float], set[UpstreamId]]
     all_running: Callable[[], bool]
+    usable_peers: Callable[[ServiceId], list[UpstreamId]]
     placer: Placer
     draining: bool = False
+    idle_fanout: int = IDLE_FANOUT
     records: RequestRecords = field(default_factory=RequestRecords)
     placements: dict[int, RequestId] = field(default_factory=dict)
     stalls: StallWatch = field(
@@ -155,6 +162,21 @@
         record = self._add_record(asker, offer, RecordState.QUEUED, now=now)
         return self._enqueue(record, now=now)
 
+    def probed(
+        self, sender: NodeId, query: BacklogQuery, *, now: float
+    ) -> list[Envelope]:
+        """Reports the backlog to a placer that looks for an agent."""
+        if query.service_id != self.service_id:
+            return []
+        report = BacklogReport(
+            placement=query.placement,
+            ask=query.ask,
+            upstream_id=self.upstream_id,
+            backlog=self.admission.backlog(),
+            draining=self.draining,
+        )
+        return [Envelope(self.node_id, sender, report)]
+
     def _refusal_before_record(self, asker: Asker, offer: Offer) -> ErrorKind | None:
         if (offer.service_id, offer.partner_id) != (self.service_id, self.partner_id):
             return ErrorKind.WRONG_SERVICE
@@ -194,6 +216,7 @@
             idempotent=offer.idempotent,
             offer=offer,
             askers={asker: offer.ask},
+            since=now - offer.waited,
         )
         self.records.add(record)
         self.timers.set(record.request_id, record.deadline)
@@ -201,7 +224,7 @@
 
     def _enqueue(self, record: Record, *, now: float) -> list[Envelope]:
         record.state = RecordState.QUEUED
-        self.admission.enqueue(record.request_id)
+        self.admission.enqueue(record.request_id, since=record.since)
         self.timers.set(record.request_id, record.deadline - QUEUE_MARGIN_S)
         started = self._start(now=now)
         return started + [self._accepted(record, asker) for asker in record.askers]
@@ -244,7 +267,8 @@
         if record is None:
             return []
         self.admission.finish(message.request_id, now=now)
-        return self._finish(record, message.payload, now=now) + self._start(now=now)
+        finished = self._finish(record, message.payload, now=now)
+        return finished + self._start(now=now) + self._notify_idle()
 
     def failed(self, message: RequestFailed, *, now: float) -> list[Envelope]:
         """Tells all who wait that the outcome is unknown."""
@@ -264,6 +288,69 @@
         dropped = self._drop(record, ErrorKind.SHED, now=now)
         return dropped + self._start(now=now)
 
+    # Queued requests that other agents have room for.
+
+    def set_draining(self, draining: bool, *, now: float) -> list[Envelope]:
+        """Starts or ends a drain; a drain moves the queue to other agents.
+
+        Without that a long queue would bring the upstream new work after
+        ``DRAIN_NOTICE_S``. Keyed requests whose home finds no free slot
+        elsewhere stay.
+        """
+        self.draining = draining
+        if not draining:
+            return []
+        queued = [
+            self.records.records[request_id] for request_id in self.admission.queued()
+        ]
+        return [out for record in queued for out in self._move(record, now=now)]
+
+    def _move(self, record: Record, *, now: float) -> list[Envelope]:
+        self.admission.drop(record.request_id)
+        if not self._movable(record.request_id):
+            return self._place(record, now=now)
+        return self._drop(record, ErrorKind.DRAINING, now=now)
+
+    def _notify_idle(self) -> list[Envelope]:
+        """Asks some other agents for a queued request if a slot is free."""
+        if self.draining or not self.admission.has_free_slot():
+            return []
+        peers = self.usable_peers(self.service_id)
+        count = min(self.idle_fanout, len(peers))
+        asked = self.placer.random_source.sample(peers, count)
+        notice = IdleNotice(service_id=self.service_id, upstream_id=self.upstream_id)
+        return [
+            Envelope(self.node_id, agent_node(self.service_id, peer), notice)
+            for peer in asked
+        ]
+
+    def release(self, notice: IdleNotice, *, now: float) -> list[Envelope]:
+        """Refuses a queued request, so that its placer offers it elsewhere.
+
+        Keyed requests stay: their home keeps the record.
+        """
+        if notice.service_id != self.service_id:
+            return []
+        request_id = self.admission.oldest_queued(self._movable)
+        if request_id is None:
+            return []
+        record = self.records.records[request_id]
+        self.admission.drop(request_id)
+        self.timers.cancel(request_id)
+        self.records.remove(request_id)
+        kind = ErrorKind.RELEASED
+        out = [self._to_metrics(kind)]
+        for asker, ask in record.askers.items():
+            self.records.refuse(request_id, asker, ask=ask, kind=kind, now=now)
+            out.append(
+                self._refusal(asker, request_id, ask, kind, free=notice.upstream_id)
+            )
+        return out
+
+    def _movable(self, request_id: RequestId) -> bool:
+        offer = self.records.records[request_id].offer
+        return offer is not None and not offer.keyed
+
     def _running(self, request_id: RequestId) -> Record | None:
         record = self.records.get(request_id)
         if record is None or record.state is not RecordState.RUNNING:
@@ -509,6 +596,9 @@
         record.never_ran = True
         if self.admission.has_free_slot():
             return self._enqueue(record, now=now)
+        return self._place(record, now=now)
+
+    def _place(self, record: Record, *, now: float) -> list[Envelope]:
         offer = record.offer
         assert offer is not None
         number = next(self._numbers)
@@ -581,11 +671,11 @@
         now: float,
     ) -> list[Envelope]:
         self.records.refuse(request_id, asker, ask=ask, kind=kind, now=now)
-        count = Count(name=counter_name(kind))
-        return [
-            self._refusal(asker, request_id, ask, kind, never_ran=never_ran),
-            Envelope(self.node_id, LOCAL_METRICS, count),
-        ]
+        refusal = self._refusal(asker, request_id, ask, kind, never_ran=never_ran)
+        return [refusal, self._to_metrics(kind)]
+
+    def _to_metrics(self, kind: ErrorKind) -> Envelope:
+        return Envelope(self.node_id, LOCAL_METRICS, Count(name=counter_name(kind)))
 
     def _refuse_all(
         self,
@@ -620,6 +710,7 @@
         *,
         home: UpstreamId | None = None,
         never_ran: bool = False,
+        free: UpstreamId | None = None,
     ) -> Envelope:
         refusal = Refusal(
             request_id=request_id,
@@ -630,6 +721,7 @@
             incarnation=self.incarnation,
             home=home,
             never_ran=never_ran,
+            free=free,
         )
         return Envelope(self.node_id, asker.node_id, refusal)
 
--- a/tests/history/harness.py
+++ b/tests/history/harness.py
@@ -38,9 +38,12 @@
     Announcement,
     Answer,
     AnswerCaller,
+    BacklogQuery,
+    BacklogReport,
     Cancelled,
     CancelRequest,
     Envelope,
+    IdleNotice,
     Offer,
     RecordQuery,
     RecordReply,
@@ -92,6 +95,9 @@
     Cancelled,
     RecordQuery,
     RecordReply,
+    BacklogQuery,
+    BacklogReport,
+    IdleNotice,
 )
 """Messages between processes; the world itself spreads control state."""
 
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -18,7 +18,7 @@
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.members import Members
 from bramleydyke.errors import ErrorKind
-from bramleydyke.messages import Announcement, Envelope, Refusal, RequestArrived
+from bramleydyke.messages import Announcement, Envelope, Offer, Refusal, RequestArrived
 from bramleydyke.types import (
     LOCAL_CALLER,
     AvailabilityZone,
@@ -160,9 +160,10 @@
         arrived = RequestArrived(
             caller=caller, address=ADDRESS, payload=b"", idempotent=True, timeout=9.0
         )
-        offers += balancer.receive(
+        sent = balancer.receive(
             Envelope(LOCAL_CALLER, balancer.node_id, arrived), now=now
         )
+        offers += [item for item in sent if isinstance(item.payload, Offer)]
     return offers
 
 
