Histories wake agents by their heartbeats

Change: heartbeats wake the agents again and carry nothing; unit tests and scenarios run side by side; measurements of the placement policy. Conclusion: the fault was in the test world.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 demo: $(VENV)/.installed
 	$(PY) -m bramleydyke.demo
 
-test: lint unit behave
+test: lint
+	$(MAKE) -j2 --output-sync=target unit behave
 
 lint: $(VENV)/.installed
 	$(VENV)/bin/ruff format --check $(SOURCES)
--- /dev/null
+++ b/scripts/plot_placement.py
@@ -0,0 +1,53 @@
+"""Plots the load experiment from ``build/bench.json``.
+
+Run after ``make bench``; needs the ``plots`` dependencies.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+FIGURES = {
+    "imbalance": "imbalance (largest over mean)",
+    "p99_wait": "99th percentile wait (mean service times)",
+}
+
+
+def plot(values: dict[str, dict[str, float]], label: str, target: Path) -> None:
+    """Draws one group of bars for each service, one bar for each policy."""
+    policies = sorted({policy for row in values.values() for policy in row})
+    width = 0.8 / len(policies)
+    _, axes = pyplot.subplots(figsize=(9, 4))
+    for index, policy in enumerate(policies):
+        places = [place + index * width for place in range(len(values))]
+        heights = [row.get(policy, 0.0) for row in values.values()]
+        axes.bar(places, heights, width, label=policy)
+    axes.set_xticks(range(len(values)), list(values))
+    axes.set_ylabel(label)
+    axes.set_yscale("log")
+    axes.legend(fontsize="small")
+    pyplot.tight_layout()
+    pyplot.savefig(target)
+    pyplot.close()
+
+
+@click.command()
+@click.option("--source", default="build/bench.json", type=Path, show_default=True)
+@click.option("--target", default="build", type=Path, show_default=True)
+def main(source: Path, target: Path) -> None:
+    """Writes one PNG file for each figure at 80% load."""
+    results = json.loads(source.read_text())
+    for figure, label in FIGURES.items():
+        plot(results[figure], label, target / f"{figure}.png")
+        click.echo(target / f"{figure}.png")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleydyke/bench/variants.py
+++ b/src/bramleydyke/bench/variants.py
@@ -70,16 +70,21 @@
         node.requests.admission.queue_per_slot = 8
 
 
-def longer_chain(node: Node) -> None:
+def chain_of_seven(node: Node) -> None:
     """Takes all upstreams of the larger services as candidates."""
     node.placer.candidates.chain_length = 7
 
 
-def shorter_chain(node: Node) -> None:
+def chain_of_two(node: Node) -> None:
     """Takes two candidates."""
     node.placer.candidates.chain_length = 2
 
 
+def chain_of_three(node: Node) -> None:
+    """Takes three candidates."""
+    node.placer.candidates.chain_length = 3
+
+
 REPORTED: dict[str, Variant] = {"bramleydyke": ours, "first_version": first_version}
 """Variants that ``make bench`` runs."""
 
@@ -89,7 +94,8 @@
     "without_release": without_release,
     "in_order_of_arrival": in_order_of_arrival,
     "short_queue": short_queue,
-    "chain_of_7": longer_chain,
-    "chain_of_2": shorter_chain,
+    "chain_of_7": chain_of_seven,
+    "chain_of_2": chain_of_two,
+    "chain_of_3": chain_of_three,
 }
 """All variants by the name under which they are reported."""
--- a/tests/history/fakes.py
+++ b/tests/history/fakes.py
@@ -14,6 +14,7 @@
 from bramleydyke.core.config import ServiceConfig, UpstreamSpec
 from bramleydyke.messages import (
     Announcement,
+    Heartbeat,
     RequestDone,
     RequestFailed,
     RequestShed,
@@ -64,7 +65,10 @@
     incarnation: int = 1,
     slots: int = 1,
 ) -> Agent:
-    """Returns an agent that sends no heartbeats."""
+    """Returns an agent; its heartbeats wake it, as its stall watch needs.
+
+    Nobody gets the heartbeats, so they carry nothing.
+    """
     agent = Agent(
         partner_id=SERVICES[service],
         service_id=service,
@@ -78,7 +82,8 @@
         random_source=rng,
         now=now,
     )
-    agent.link.home.heartbeat_at = math.inf
+    empty = Heartbeat(incarnation=Incarnation(incarnation), revision=1)
+    agent.link.home.heartbeat = lambda announcement: empty
     return agent
 
 
--- /dev/null
+++ b/tests/unit/test_bench.py
@@ -0,0 +1,26 @@
+"""The figures of the bench itself."""
+
+from __future__ import annotations
+
+import pytest
+
+from bramleydyke.bench.__main__ import merge
+from bramleydyke.bench.tally import Tally
+
+
+def test_busy_time_is_split_at_window_borders() -> None:
+    """Guards against an imbalance that counts time in the wrong window."""
+    tally = Tally([1.0, 2.0])
+    tally.ran(0, start=8.0, end=13.0)
+    tally.ran(1, start=10.0, end=16.0)
+    assert tally.busy == {0: [2.0, 0.0], 1: [3.0, 6.0]}
+    assert tally.imbalance(20.0) == pytest.approx(1.0)
+
+
+def test_one_figure_from_two_modules_is_an_error() -> None:
+    """Guards against a module that overwrites another's figure."""
+    results: dict[str, object] = {"in_force_s": {"3": 1.0}}
+    merge(results, {"in_force_s": {"50": 2.0}})
+    assert results == {"in_force_s": {"3": 1.0, "50": 2.0}}
+    with pytest.raises(ValueError, match="'3'"):
+        merge(results, {"in_force_s": {"3": 4.0}})
