Report in a zone's status which upstreams have drained

Cause: the status named draining upstreams, but not whether they still had work, so an operator could not tell when a VM may be replaced.

Change: an agent's heartbeat says that it drains and has found no work in five heartbeats in a row, longer than the 3 s in which balancers may still send new work. Balancers name at most 20 such upstreams in their status reply, which is one datagram; the zone's status lists them as `drained`. The fields are added at the end of their messages, with defaults.

Conclusion: draining upstreams are told from drained ones. Draining balancers are still not in the status.

--- a/src/bramleydyke/constants.py
+++ b/src/bramleydyke/constants.py
@@ -94,6 +94,12 @@
 DRAIN_NOTICE_S = 3.0
 """A leaving upstream gets no new work later than this after the notice."""
 
+DRAINED_HEARTBEATS = 5
+"""Heartbeats in a row without work after which an upstream has drained.
+
+Balancers may send new work for ``DRAIN_NOTICE_S`` after the notice.
+"""
+
 HEALTH_FLOOR = 0.5
 """Share of a service's upstreams that stays in use in any case."""
 
@@ -256,3 +262,6 @@
 
 AGENT_STREAMS = 2_000
 """Byte streams that an agent holds."""
+
+DRAINED_NAMES = 20
+"""Drained upstreams that a balancer names; its reply is one datagram."""
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -114,6 +114,7 @@
             seeds=balancers,
             random_source=random_source,
             peer_learned=self._peer_learned,
+            idle=self.idle,
             now=now,
         )
         self.placer = Placer(
--- a/src/bramleydyke/core/agent_link.py
+++ b/src/bramleydyke/core/agent_link.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from bramleydyke.constants import DRAINED_HEARTBEATS
 from bramleydyke.core.config import ConfigDelta, ConfigStore
 from bramleydyke.core.config_parts import ConfigReceiver
 from bramleydyke.core.drain import DrainState
@@ -36,6 +37,7 @@
         home: Heartbeats and announcements.
         receiver: Takes configuration deltas.
         drain: Whether the agent drains.
+        quiet: Heartbeats in a row that found it draining without work.
     """
 
     def __init__(
@@ -47,9 +49,12 @@
         seeds: Iterable[NodeId],
         random_source: random.Random,
         peer_learned: PeerLearned,
+        idle: Callable[[], bool],
         now: float,
     ) -> None:
         self.peer_learned = peer_learned
+        self.idle = idle
+        self.quiet = 0
         self.config = config
         self.members = members
         self.home = HomeLink(
@@ -133,12 +138,15 @@
     def _heartbeat(self, announcement: Announcement) -> Heartbeat:
         partner_id, service_id = announcement.partner_id, announcement.service_id
         assert partner_id is not None and service_id is not None
+        quiet = self.drain.draining and self.idle()
+        self.quiet = self.quiet + 1 if quiet else 0
         return Heartbeat(
             incarnation=announcement.incarnation,
             revision=announcement.revision,
             view=self.members.concerning(service_id, announcement.zone)[0],
             partner_id=partner_id,
             generation=Generation(self.config.generation(partner_id)),
+            drained=self.quiet >= DRAINED_HEARTBEATS,
         )
 
     def _drop_unlisted(self, listed: set[NodeId], *, now: float) -> None:
--- a/src/bramleydyke/core/membership.py
+++ b/src/bramleydyke/core/membership.py
@@ -48,6 +48,7 @@
         spread: Exchange of announcements with other balancers.
         suspicion: Nodes that this balancer is a home of.
         generations: Generation that each agent said it holds.
+        drained: Agents that drain and have said that no work is left.
         told: View that each agent was told last, and when.
     """
 
@@ -63,6 +64,7 @@
     generations: dict[NodeId, tuple[PartnerId, Generation]] = field(
         default_factory=dict
     )
+    drained: set[NodeId] = field(default_factory=set)
     told: dict[NodeId, tuple[int, float]] = field(default_factory=dict)
     check_at: float | None = None
     exchange_at: float | None = None
@@ -163,6 +165,9 @@
             return out
         assert message.partner_id is not None
         self.generations[sender] = (message.partner_id, message.generation)
+        self.drained.discard(sender)
+        if message.drained:
+            self.drained.add(sender)
         return out + self._view(known, message.view, now=now)
 
     def _view(self, agent: Announcement, theirs: int, *, now: float) -> list[Envelope]:
@@ -221,6 +226,7 @@
     def _forget(self, *, now: float) -> None:
         self.members.forget_gone(before=now - MEMBER_RETENTION_S)
         watched = self.suspicion.others
+        self.drained &= watched.keys()
         for table in (self.generations, self.told):
             for node_id in table.keys() - watched.keys():
                 del table[node_id]
--- a/src/bramleydyke/core/status.py
+++ b/src/bramleydyke/core/status.py
@@ -52,6 +52,9 @@
     undeclared: Names
     """Upstreams that are announced but not in the sheet; they get no work."""
 
+    drained: tuple[str, ...] = ()
+    """Draining upstreams without work, of agents homed in the zone."""
+
 
 class ZoneStatus(msgspec.Struct, frozen=True):
     """Content of ``status/<zone>``, as JSON."""
@@ -127,6 +130,13 @@
             draining=self._aged(partner_id, "draining", now=now),
             suspect=self._aged(partner_id, "suspect", now=now),
             undeclared=self._aged(partner_id, "undeclared", now=now),
+            drained=tuple(
+                sorted(
+                    name
+                    for reply in replies
+                    for name in reply.drained.get(partner_id, ())
+                )
+            ),
         )
 
     def _aged(self, partner_id: PartnerId, condition: str, *, now: float) -> Names:
--- a/src/bramleydyke/core/status_writer.py
+++ b/src/bramleydyke/core/status_writer.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from bramleydyke.constants import (
+    DRAINED_NAMES,
     STATUS_BURST,
     STATUS_CHANGED_S,
     STATUS_COLLECT_S,
@@ -133,6 +134,7 @@
         own = self.membership.announcement.node_id
         members = self.membership.members
         agents: dict[PartnerId, Counter[Generation]] = {}
+        drained: dict[PartnerId, list[str]] = {}
         for node_id, held in self.membership.generations.items():
             known = members.by_node.get(node_id)
             if known is None or known.state not in (
@@ -144,9 +146,16 @@
             if homes[:1] == [own]:
                 partner_id, generation = held
                 agents.setdefault(partner_id, Counter())[generation] += 1
+                names = drained.setdefault(partner_id, [])
+                done = node_id in self.membership.drained
+                if done and len(names) < DRAINED_NAMES:
+                    names.append(node_id.removeprefix("agent/"))
         return StatusReply(
             generations=dict(self.config.generations),
             agents={partner_id: dict(held) for partner_id, held in agents.items()},
+            drained={
+                partner_id: names for partner_id, names in drained.items() if names
+            },
         )
 
     def _look(self, lease: Lease, *, now: float) -> list[Envelope]:
--- a/src/bramleydyke/messages.py
+++ b/src/bramleydyke/messages.py
@@ -497,6 +497,9 @@
     generation: Generation = Generation(0)
     """Generation of its partner that an agent has in force."""
 
+    drained: bool = False
+    """True if an agent drains and has no work in progress."""
+
 
 class HeartbeatReply(Message):
     """What a home balancer knows of the sender of a heartbeat."""
@@ -617,6 +620,8 @@
 
     generations: dict[PartnerId, Generation]
     agents: dict[PartnerId, dict[Generation, int]]
+    drained: dict[PartnerId, list[str]] = {}
+    """Upstreams without work whose agents drain, as ``service/upstream``."""
 
 
 class Count(Message):
--- a/tests/unit/test_drain_status.py
+++ b/tests/unit/test_drain_status.py
@@ -111,6 +111,24 @@
     assert set(status(net).partners[PARTNER].draining) == {f"{SERVICE}/u0"}
 
 
+def test_status_names_an_upstream_as_drained_only_without_work() -> None:
+    """Guards against a VM that is replaced while its upstream has work."""
+    net = Deployment(seed=7)
+    net.apply(service())
+    net.run(10)
+    agent = net.net.nodes[U0]
+    agent.link.idle = lambda: False
+    net.put(PATH, DrainObject(node_id=U0))
+    net.run(200)
+    assert status(net).partners[PARTNER].drained == ()
+    agent.link.idle = lambda: True
+    net.run(70)
+    assert status(net).partners[PARTNER].drained == (f"{SERVICE}/u0",)
+    net.put(PATH, DrainObject(node_id=U0, draining=False))
+    net.run(70)
+    assert status(net).partners[PARTNER].drained == ()
+
+
 def test_status_writes_are_bounded_while_everything_changes() -> None:
     """Guards against status writes that grow with the rate of changes."""
     net = Deployment(seed=6)
