Add the operator's commands: sheet check, apply, status, drain, undrain

Cause: sheets were put into force with curl, and nothing compared a sheet with what holds or told an operator how a change had ended.

Change: the commands run the procedures of the core against the platform. `sheet apply` derives its change id from the sheet and the generation that it started from; an id that belongs to another sheet is refused, since it was reported as accepted without being applied. Table faults are all named at once with row and column of the table. A drain is a conditional update and is read back after a lost answer. A place counts as in force only if all its balancers have answered.

The share of load against weight is not in the status.

--- a/src/bramleydyke/cli/main.py
+++ b/src/bramleydyke/cli/main.py
@@ -4,8 +4,10 @@
 
 import click
 
+from bramleydyke.cli.drain import drain, undrain
 from bramleydyke.cli.programs import agent, balancer, demo, platform
 from bramleydyke.cli.settings import settings_group
+from bramleydyke.cli.sheet import sheet_group
 
 COMMANDS: tuple[click.Command, ...] = (
     balancer,
@@ -13,8 +15,11 @@
     platform,
     demo,
     settings_group,
+    sheet_group,
+    drain,
+    undrain,
 )
-"""All commands and groups; add ``sheet``, ``drain`` and ``undrain`` here."""
+"""All commands and groups."""
 
 
 @click.group()
--- a/src/bramleydyke/cli/settings.py
+++ b/src/bramleydyke/cli/settings.py
@@ -12,6 +12,7 @@
 from bramleydyke.settings import (
     AgentSettings,
     BalancerSettings,
+    OperatorSettings,
     PlatformSettings,
     load,
 )
@@ -19,6 +20,7 @@
 ROLES = {
     "balancer": BalancerSettings,
     "agent": AgentSettings,
+    "operator": OperatorSettings,
     "platform": PlatformSettings,
 }
 
--- /dev/null
+++ b/src/bramleydyke/core/drain_apply.py
@@ -0,0 +1,144 @@
+"""Writes operators' drain objects into the platform's object API."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Generator
+from dataclasses import dataclass
+
+import msgspec
+
+from bramleydyke.core.config import PartnerConfig
+from bramleydyke.core.drain import DRAIN_PREFIX, DrainObject
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import PlatformRead, PlatformReply, PlatformWrite
+from bramleydyke.types import (
+    NodeId,
+    PartnerId,
+    PlatformStatus,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+    balancer_node,
+)
+
+TRIES = 5
+"""Times that a write without reply is looked for before it is unknown."""
+
+PlatformCall = PlatformRead | PlatformWrite
+
+_calls = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DrainOutcome:
+    """How an attempt ended.
+
+    Attributes:
+        kind: None if the wish is written, else why not.
+        changed: False if it had been written before.
+        detail: What the outcome is about.
+    """
+
+    kind: ErrorKind | None
+    changed: bool = False
+    detail: str = ""
+
+
+Steps = Generator[PlatformCall, PlatformReply, DrainOutcome]
+
+
+def node_of(partner_id: PartnerId, name: str) -> NodeId | None:
+    """Returns the node of ``balancer/NAME`` or ``SERVICE/UPSTREAM``."""
+    first, slash, second = name.partition("/")
+    if not (first and slash and second) or "/" in second:
+        return None
+    if first == "balancer":
+        return balancer_node(second)
+    return agent_node(ServiceId(f"{partner_id}/{first}"), UpstreamId(second))
+
+
+def drain_path(partner_id: PartnerId, name: str) -> str:
+    """Returns the path of a partner's drain object."""
+    return f"{DRAIN_PREFIX}{partner_id}/{name}"
+
+
+def write_drain(partner_id: PartnerId, name: str, *, draining: bool) -> Steps:
+    """Writes a wish as a conditional update; safe to run again.
+
+    Yields:
+        Platform calls; send the reply of each.
+
+    Returns:
+        How the attempt ended.
+    """
+    node_id = node_of(partner_id, name)
+    if node_id is None:
+        return DrainOutcome(kind=ErrorKind.BAD_REQUEST, detail=name)
+    if draining and node_id.startswith("agent/"):
+        refused = yield from _undeclared(partner_id, name)
+        if refused is not None:
+            return refused
+    wanted = DrainObject(node_id=node_id, draining=draining)
+    return (yield from _write(drain_path(partner_id, name), wanted))
+
+
+def _undeclared(
+    partner_id: PartnerId, name: str
+) -> Generator[PlatformCall, PlatformReply, DrainOutcome | None]:
+    """Refuses a name that the sheet in force does not have.
+
+    Nothing else would tell a misspelt name from an upstream that drains.
+    """
+    path = f"sheets/{partner_id}"
+    reply = yield PlatformRead(call=next(_calls), path=path)
+    if reply.status is PlatformStatus.OK and reply.value is not None:
+        config = msgspec.json.decode(reply.value, type=PartnerConfig)
+        names = {
+            f"{service.service_id.partition('/')[2]}/{spec.upstream_id}"
+            for service in config.services
+            if not service.deleted
+            for spec in service.upstreams
+        }
+        if name in names:
+            return None
+    elif reply.status is not PlatformStatus.NOT_FOUND:
+        return DrainOutcome(kind=_failure(reply), detail=path)
+    return DrainOutcome(kind=ErrorKind.NO_UPSTREAM, detail=name)
+
+
+def _write(path: str, wanted: DrainObject) -> Steps:
+    """Writes until the object says what is wanted or the outcome is open.
+
+    Another operator's write in between is not overwritten: if it says the
+    opposite, the attempt is refused.
+    """
+    value = msgspec.json.encode(wanted)
+    reply = yield PlatformRead(call=next(_calls), path=path)
+    if reply.status not in (PlatformStatus.OK, PlatformStatus.NOT_FOUND):
+        return DrainOutcome(kind=_failure(reply), detail=path)
+    if reply.value == value:
+        return DrainOutcome(kind=None, detail=path)
+    expected, lost = reply.version, False
+    for _ in range(TRIES):
+        reply = yield PlatformWrite(
+            call=next(_calls), path=path, value=value, expected=expected
+        )
+        own = reply.status is PlatformStatus.CONFLICT and reply.value == value
+        if reply.status is PlatformStatus.OK or own:
+            return DrainOutcome(kind=None, changed=True, detail=path)
+        lost = lost or reply.status is PlatformStatus.LOST
+        if reply.status in (PlatformStatus.CONFLICT, PlatformStatus.FORBIDDEN):
+            break
+    # After a lost answer a conflict may also mean that the own write took
+    # effect and was overwritten.
+    kind = ErrorKind.STORE_ANSWER_LOST if lost else _failure(reply)
+    return DrainOutcome(kind=kind, detail=path)
+
+
+def _failure(reply: PlatformReply) -> ErrorKind:
+    if reply.status is PlatformStatus.FORBIDDEN:
+        return ErrorKind.WRONG_PARTNER
+    if reply.status is PlatformStatus.CONFLICT:
+        return ErrorKind.CONFLICT
+    return ErrorKind.STORE_UNAVAILABLE
--- a/src/bramleydyke/core/sheet.py
+++ b/src/bramleydyke/core/sheet.py
@@ -8,8 +8,9 @@
 import itertools
 import math
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -41,6 +42,8 @@
 )
 """Columns of a sheet as a table, one row for each upstream."""
 
+Number = TypeVar("Number", int, float)
+
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 
 
@@ -129,18 +132,23 @@
     if len(text) > MAX_SHEET_BYTES:
         return Failure([_too_large(len(text))])
     try:
-        reader = csv.DictReader(io.StringIO(text.decode()), strict=True)
+        reader = csv.DictReader(io.StringIO(text.decode("utf-8-sig")), strict=True)
         rows = list(reader)
     except (csv.Error, UnicodeDecodeError) as error:
         return Failure([SheetFault("table", "csv", str(error), "a valid table")])
     if tuple(reader.fieldnames or ()) != CSV_COLUMNS:
         found = ",".join(reader.fieldnames or ())
         return Failure([SheetFault("row 1", "header", found, ",".join(CSV_COLUMNS))])
-    faults = list(_table_faults(rows))
-    if faults:
-        return Failure(faults)
-    sheet = Sheet(partner=partner_id, services=_group_rows(rows))
-    faults = list(_sheet_faults(sheet, partner_id))
+    grouped = _group(rows)
+    sheet = Sheet(
+        partner=partner_id,
+        services=[_service_row(name, group) for name, group in grouped.items()],
+    )
+    lines = _line_numbers(grouped)
+    faults = [
+        *_table_faults(rows),
+        *(_in_table(fault, lines) for fault in _sheet_faults(sheet, partner_id)),
+    ]
     if faults:
         return Failure(faults)
     return Success([_service(row, partner_id) for row in sheet.services])
@@ -295,24 +303,72 @@
                 yield SheetFault(where, column, row[column], expected)
 
 
-def _group_rows(rows: list[dict[str, str]]) -> list[ServiceRow]:
-    grouped: dict[str, list[dict[str, str]]] = {}
-    for row in rows:
-        grouped.setdefault(row["service"], []).append(row)
-    return [
-        ServiceRow(
-            name=name,
-            protocol=group[0]["protocol"],
-            addresses=group[0]["addresses"].split(";"),
-            upstreams=[
-                UpstreamRow(
-                    id=row["upstream"],
-                    place=row["place"],
-                    weight=float(row["weight"]),
-                    slots=int(row["slots"]),
-                )
-                for row in group
-            ],
-        )
-        for name, group in grouped.items()
-    ]
+Groups = dict[str, list[tuple[int, dict[str, str]]]]
+"""Rows of each service with their numbers in the table."""
+
+
+def _group(rows: list[dict[str, str]]) -> Groups:
+    """Groups the rows that have all cells; others are faults already."""
+    grouped: Groups = {}
+    for number, row in enumerate(rows, start=2):
+        if None not in row and None not in row.values():
+            grouped.setdefault(row["service"], []).append((number, row))
+    return grouped
+
+
+def _service_row(name: str, group: list[tuple[int, dict[str, str]]]) -> ServiceRow:
+    """Returns a service; cells that are no numbers become valid ones.
+
+    They are reported as faults of the table, and would hide the others.
+    """
+    first = group[0][1]
+    return ServiceRow(
+        name=name,
+        protocol=first["protocol"],
+        addresses=first["addresses"].split(";"),
+        upstreams=[
+            UpstreamRow(
+                id=row["upstream"],
+                place=row["place"],
+                weight=_number(row["weight"], float),
+                slots=_number(row["slots"], int),
+            )
+            for _, row in group
+        ],
+    )
+
+
+def _number(text: str, read: Callable[[str], Number]) -> Number:
+    try:
+        return read(text)
+    except ValueError:
+        return read("1")
+
+
+def _line_numbers(grouped: Groups) -> dict[str, str]:
+    """Returns the table's row for each path within the sheet."""
+    lines = {}
+    for index, group in enumerate(grouped.values()):
+        lines[f"services[{index}]"] = f"row {group[0][0]}"
+        for position, (number, _) in enumerate(group):
+            lines[f"services[{index}].upstreams[{position}]"] = f"row {number}"
+    return lines
+
+
+_COLUMN_NAMES = {"name": "service", "id": "upstream", "upstreams": "weight"}
+"""Columns of the table for fields with other names in JSON."""
+
+
+def _in_table(fault: SheetFault, lines: dict[str, str]) -> SheetFault:
+    """Returns a fault of the sheet with its row and column in the table."""
+    expected = re.sub(
+        r"services\[\d+\](\.upstreams\[\d+\])?",
+        lambda match: lines.get(match[0], match[0]),
+        fault.expected,
+    )
+    return SheetFault(
+        row=lines.get(fault.row, fault.row),
+        column=_COLUMN_NAMES.get(fault.column, fault.column),
+        value=fault.value,
+        expected=expected,
+    )
--- a/src/bramleydyke/core/sheet_apply.py
+++ b/src/bramleydyke/core/sheet_apply.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import itertools
 from collections.abc import Callable, Generator, Iterable
 from dataclasses import dataclass, field
@@ -61,6 +62,12 @@
     return f"sheets/{partner_id}"
 
 
+def derive_change_id(wanted: Iterable[ServiceConfig], generation: Generation) -> str:
+    """Returns the same id for the same sheet from the same generation."""
+    content = msgspec.json.encode((generation, list(wanted)))
+    return hashlib.sha256(content).hexdigest()[:32]
+
+
 def claim_path(address: ServiceAddress) -> str:
     """Returns the path of the claim on a service address."""
     return f"claims/{address}"
@@ -92,11 +99,18 @@
     partner_id: PartnerId,
     wanted: Iterable[ServiceConfig],
     *,
-    change_id: str,
+    change_id: str | None = None,
     confirm: Callable[[SheetDifference], bool],
 ) -> Steps:
     """Applies a sheet; safe to run again with the same ``change_id``.
 
+    Args:
+        partner_id: The partner whose sheet it is.
+        wanted: All services of the sheet.
+        change_id: Marks the write; None derives it from the sheet and the
+            generation in force.
+        confirm: Asked with the difference before anything is written.
+
     Yields:
         Platform calls; send the reply of each.
 
@@ -110,15 +124,20 @@
         return ApplyOutcome(kind=_failure(reply), detail=sheet_path(partner_id))
     run = _Run(
         partner_id=partner_id,
-        change_id=change_id,
+        change_id=change_id or derive_change_id(wanted, current.generation),
         current=current,
         version=reply.version,
     )
-    if current.change_id == change_id:
-        return ApplyOutcome(kind=None, generation=current.generation)
     changes = difference(current, wanted)
     if not changes.lines():
         return ApplyOutcome(kind=None, generation=current.generation)
+    if current.change_id == run.change_id:
+        # The id is the key of the read-back: with another sheet under it, a
+        # lost answer could not be told from the earlier change.
+        detail = f"change id {run.change_id} belongs to another sheet"
+        return ApplyOutcome(
+            kind=ErrorKind.BAD_REQUEST, generation=current.generation, detail=detail
+        )
     if not confirm(changes):
         return ApplyOutcome(kind=ErrorKind.CANCELLED, generation=current.generation)
     refused = yield from _claim_added(run, wanted)
--- /dev/null
+++ b/src/bramleydyke/core/sheet_status.py
@@ -0,0 +1,221 @@
+"""A sheet in the store against what the zones report to hold."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Generator
+
+import msgspec
+
+from bramleydyke.core.config import PartnerConfig
+from bramleydyke.core.status import Names, PartnerStatus, ZoneStatus
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import PlatformRead, PlatformReply
+from bramleydyke.types import Generation, PartnerId, PlatformStatus
+
+STATUS_PREFIX = "status/"
+
+_calls = itertools.count(1)
+
+
+class PlaceReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What holds in one place."""
+
+    place: str
+    reported: bool
+    """False if no balancer of the place has written a status."""
+
+    in_force: bool
+    generation: Generation
+    """Newest generation that the place's writer knows."""
+
+    balancers_asked: int
+    balancers_replied: int
+    balancers: dict[Generation, int]
+    """Balancers that hold each generation."""
+
+    agents: dict[Generation, int]
+    """Agents that hold each generation."""
+
+    for_s: float
+    """How long it had been so when the status was written."""
+
+
+class ServiceReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Declared upstreams of a service in a place against what holds.
+
+    Each condition names upstreams, and for how many seconds.
+    """
+
+    service: str
+    place: str
+    declared: int
+    announced: int
+    missing: Names
+    draining: Names
+    suspect: Names
+    undeclared: Names
+    drained: list[str]
+    """Draining upstreams that have no work in progress."""
+
+
+class SheetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The sheet in the store, and what holds in each place."""
+
+    partner: PartnerId
+    generation: Generation
+    in_force: bool
+    """True if each place reports that all nodes hold the generation."""
+
+    places: list[PlaceReport]
+    services: list[ServiceReport]
+
+
+Read = Generator[PlatformRead, PlatformReply, "SheetReport | ErrorKind"]
+
+
+def read_status(partner_id: PartnerId) -> Read:
+    """Reads a partner's sheet and the zones' status.
+
+    Yields:
+        Platform calls; send the reply of each.
+
+    Returns:
+        The report, or why it could not be read.
+    """
+    reply = yield PlatformRead(call=next(_calls), path=f"sheets/{partner_id}")
+    kind = _failure(reply)
+    if kind is not None:
+        return kind
+    config = PartnerConfig(partner_id=partner_id)
+    if reply.value:
+        config = msgspec.json.decode(reply.value, type=PartnerConfig)
+    reply = yield PlatformRead(call=next(_calls), path=STATUS_PREFIX)
+    kind = _failure(reply)
+    if kind is not None:
+        return kind
+    paths = msgspec.json.decode(reply.value or b"{}", type=dict[str, int])
+    zones: dict[str, ZoneStatus] = {}
+    for path in paths:
+        reply = yield PlatformRead(call=next(_calls), path=path)
+        kind = _failure(reply)
+        if kind is not None:
+            return kind
+        if reply.value:
+            zone = msgspec.json.decode(reply.value, type=ZoneStatus)
+            zones[zone.zone] = zone
+    return report(config, zones)
+
+
+def report(config: PartnerConfig, zones: dict[str, ZoneStatus]) -> SheetReport:
+    """Returns the report on a sheet from the status of each zone."""
+    declared: dict[tuple[str, str], int] = {}
+    for service in config.services:
+        for spec in () if service.deleted else service.upstreams:
+            key = (str(service.service_id), str(spec.zone))
+            declared[key] = declared.get(key, 0) + 1
+    statuses = {
+        place: zone.partners[config.partner_id]
+        for place, zone in zones.items()
+        if config.partner_id in zone.partners
+    }
+    undeclared = {
+        (name.rpartition("/")[0], place): 0
+        for place, status in statuses.items()
+        for name in status.undeclared
+    }
+    # An agent's home balancer may be in another place than the agent.
+    drained = {name for status in statuses.values() for name in status.drained}
+    names = dict.fromkeys((*(place for _, place in declared), *statuses))
+    places = [
+        _place(place, zones.get(place), statuses.get(place), config.generation)
+        for place in sorted(names)
+    ]
+    return SheetReport(
+        partner=config.partner_id,
+        generation=config.generation,
+        in_force=config.generation > 0 and all(item.in_force for item in places),
+        places=places,
+        services=[
+            _service(service, place, count, statuses.get(place), drained)
+            for (service, place), count in sorted((undeclared | declared).items())
+        ],
+    )
+
+
+def _place(
+    place: str,
+    zone: ZoneStatus | None,
+    status: PartnerStatus | None,
+    wanted: Generation,
+) -> PlaceReport:
+    """Returns what a place holds.
+
+    A balancer that did not answer may hold anything, so the place counts as
+    in force only if all have answered.
+    """
+    if zone is None or status is None:
+        return PlaceReport(
+            place=place,
+            reported=False,
+            in_force=False,
+            generation=Generation(0),
+            balancers_asked=0,
+            balancers_replied=0,
+            balancers={},
+            agents={},
+            for_s=0.0,
+        )
+    answered = zone.replied >= zone.balancers
+    return PlaceReport(
+        place=place,
+        reported=True,
+        in_force=status.in_force and status.generation == wanted and answered,
+        generation=status.generation,
+        balancers_asked=zone.balancers,
+        balancers_replied=zone.replied,
+        balancers=status.balancers,
+        agents=status.agents,
+        for_s=status.for_s,
+    )
+
+
+def _service(
+    service: str,
+    place: str,
+    count: int,
+    status: PartnerStatus | None,
+    drained: set[str],
+) -> ServiceReport:
+    def of(names: Names) -> Names:
+        prefix = f"{service}/"
+        return {
+            name.removeprefix(prefix): age
+            for name, age in names.items()
+            if name.startswith(prefix)
+        }
+
+    empty: Names = {}
+    missing = empty if status is None else of(status.missing)
+    draining = empty if status is None else of(status.draining)
+    suspect = empty if status is None else of(status.suspect)
+    away = len(missing) + len(draining) + len(suspect)
+    return ServiceReport(
+        service=service,
+        place=place,
+        declared=count,
+        announced=0 if status is None else max(0, count - away),
+        missing=missing,
+        draining=draining,
+        suspect=suspect,
+        undeclared=empty if status is None else of(status.undeclared),
+        drained=[name for name in draining if f"{service}/{name}" in drained],
+    )
+
+
+def _failure(reply: PlatformReply) -> ErrorKind | None:
+    if reply.status in (PlatformStatus.OK, PlatformStatus.NOT_FOUND):
+        return None
+    if reply.status is PlatformStatus.FORBIDDEN:
+        return ErrorKind.WRONG_PARTNER
+    return ErrorKind.STORE_UNAVAILABLE
--- a/src/bramleydyke/settings.py
+++ b/src/bramleydyke/settings.py
@@ -185,6 +185,21 @@
         return UpstreamId(self.upstream)
 
 
+class OperatorSettings(_Settings, kw_only=True):
+    """Settings of a partner's operator."""
+
+    partner: Name
+    """The partner whose sheet and upstreams are operated."""
+
+    platform: PlatformAccess
+    """The platform's object API, with the operator's credential."""
+
+    @property
+    def partner_id(self) -> PartnerId:
+        """The partner."""
+        return PartnerId(self.partner)
+
+
 class PlatformSettings(_Settings, kw_only=True):
     """Settings of the platform stand-in."""
 
