Name every mistyped field of a JSON sheet at once

Cause: the decoder stops at the first wrong type, so an operator needed one run of `sheet check` for each such fault.

Change: the shape of a JSON sheet is compared field by field, in a module of its own with the structs.

Conclusion: wrong types and missing or unknown fields are named together. Values out of range are named once the shape is right.

--- /dev/null
+++ b/src/bramleydyke/core/_sheet_rows.py
@@ -0,0 +1,114 @@
+"""Shape of a JSON sheet, and the faults of one that has another shape."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, get_type_hints
+
+import msgspec
+
+
+@dataclass(frozen=True, slots=True)
+class SheetFault:
+    """One fault of a sheet."""
+
+    row: str
+    """Row number of a table, or path within a JSON sheet."""
+
+    column: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.row}: {self.column}: {self.value!r}, expected {self.expected}"
+
+
+class UpstreamRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """An upstream of a JSON sheet."""
+
+    id: str
+    place: str
+    weight: float = 1.0
+    slots: int = 1
+
+
+class ServiceRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A service of a JSON sheet."""
+
+    name: str
+    protocol: str
+    addresses: list[str]
+    upstreams: list[UpstreamRow]
+
+
+class Sheet(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A partner's sheet as planners export it."""
+
+    partner: str
+    services: list[ServiceRow]
+
+
+_ROWS: dict[str, type[msgspec.Struct]] = {
+    "services": ServiceRow,
+    "upstreams": UpstreamRow,
+}
+"""Fields that hold rows of their own."""
+
+_WORDS: dict[Any, str] = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+    list[str]: "a list of texts",
+}
+
+
+def shape_faults(
+    content: Any, kind: type[msgspec.Struct], where: str
+) -> Iterator[SheetFault]:
+    """Yields all missing, unknown and mistyped fields.
+
+    The decoder stops at the first one, which would cost an operator one run
+    for each fault.
+
+    Args:
+        content: Decoded JSON.
+        kind: Struct that the content should have the shape of.
+        where: Path of the content within the sheet.
+    """
+    if not isinstance(content, dict):
+        yield SheetFault(where, "row", _shown(content), "an object")
+        return
+    types = get_type_hints(kind)
+    for name in content.keys() - types.keys():
+        yield SheetFault(where, name, _shown(content[name]), "no such field")
+    for item in msgspec.structs.fields(kind):
+        if item.name not in content:
+            if item.required:
+                yield SheetFault(where, item.name, "", "a value")
+        elif item.name in _ROWS:
+            yield from _row_faults(content[item.name], item.name, where)
+        else:
+            yield from _value_faults(content[item.name], item, where)
+
+
+def _row_faults(rows: Any, name: str, where: str) -> Iterator[SheetFault]:
+    if not isinstance(rows, list):
+        yield SheetFault(where, name, _shown(rows), "a list")
+        return
+    path = name if where == "sheet" else f"{where}.{name}"
+    for index, row in enumerate(rows):
+        yield from shape_faults(row, _ROWS[name], f"{path}[{index}]")
+
+
+def _value_faults(
+    value: Any, item: msgspec.structs.FieldInfo, where: str
+) -> Iterator[SheetFault]:
+    try:
+        msgspec.convert(value, type=item.type)
+    except msgspec.ValidationError:
+        yield SheetFault(where, item.name, _shown(value), _WORDS[item.type])
+
+
+def _shown(value: Any) -> str:
+    return msgspec.json.encode(value).decode()[:120]
--- a/src/bramleydyke/core/sheet.py
+++ b/src/bramleydyke/core/sheet.py
@@ -15,6 +15,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from bramleydyke.core._sheet_rows import (
+    ServiceRow,
+    Sheet,
+    SheetFault,
+    UpstreamRow,
+    shape_faults,
+)
 from bramleydyke.core.config import PartnerConfig, ServiceConfig, UpstreamSpec
 from bramleydyke.types import (
     AvailabilityZone,
@@ -47,46 +54,6 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 
 
-@dataclass(frozen=True, slots=True)
-class SheetFault:
-    """One fault of a sheet."""
-
-    row: str
-    """Row number of a table, or path within a JSON sheet."""
-
-    column: str
-    value: str
-    expected: str
-
-    def __str__(self) -> str:
-        return f"{self.row}: {self.column}: {self.value!r}, expected {self.expected}"
-
-
-class UpstreamRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """An upstream of a JSON sheet."""
-
-    id: str
-    place: str
-    weight: float = 1.0
-    slots: int = 1
-
-
-class ServiceRow(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """A service of a JSON sheet."""
-
-    name: str
-    protocol: str
-    addresses: list[str]
-    upstreams: list[UpstreamRow]
-
-
-class Sheet(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """A partner's sheet as planners export it."""
-
-    partner: str
-    services: list[ServiceRow]
-
-
 @dataclass(slots=True, kw_only=True)
 class SheetDifference:
     """What a new sheet changes; each entry is one line of text."""
@@ -118,9 +85,13 @@
     if len(text) > MAX_SHEET_BYTES:
         return Failure([_too_large(len(text))])
     try:
-        sheet = msgspec.json.decode(text, type=Sheet)
+        content = msgspec.json.decode(text)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Failure([SheetFault("sheet", "json", str(error), "a valid sheet")])
+    faults = list(shape_faults(content, Sheet, "sheet"))
+    if faults:
+        return Failure(faults)
+    sheet = msgspec.convert(content, type=Sheet)
     faults = list(_sheet_faults(sheet, partner_id))
     if faults:
         return Failure(faults)
--- a/tests/unit/test_sheet.py
+++ b/tests/unit/test_sheet.py
@@ -31,6 +31,19 @@
     assert isinstance(from_table, Success)
 
 
+def test_every_mistyped_field_is_named_at_once() -> None:
+    """Guards against a decoder that stops at the first wrong type."""
+    upstreams = [{"id": 7, "weight": "x", "wieght": 1}, "bb-2"]
+    text = sheet(addresses=[1], upstreams=upstreams)
+    faults = parse_json(text, partner_id=PARTNER).failure()
+    first = "services[0].upstreams[0]"
+    assert {(fault.row, fault.column) for fault in faults} == {
+        ("services[0]", "addresses"),
+        *((first, name) for name in ("id", "place", "weight", "wieght")),
+        ("services[0].upstreams[1]", "row"),
+    }
+
+
 def test_every_fault_is_named_at_once() -> None:
     """Guards against an operator having to correct one fault per run."""
     upstreams = [
