Serve UDP and TCP services over real sockets

Cause: the core decided about packets and byte streams, but no adapter carried them, so settings refused both protocols. `OpenConnection` was missing in LOCAL_MESSAGES, so a frame from another process could carry it.

A balancer is idle only when no stream is being opened and no caller's request or connection is left; its UDP edges stay open while it drains. Stand-ins: a price board on UDP and documents on TCP.

Tests: the settings test named `udp` as a protocol without adapter; it now names `sctp`, and another test compares SUPPORTED, LISTEN and UPSTREAM_PORTS with all protocols.

Conclusion: UDP and TCP services run end to end; the demo has no traffic for them yet.

--- a/src/bramleydyke/adapters/codec.py
+++ b/src/bramleydyke/adapters/codec.py
@@ -36,6 +36,7 @@
         "PacketDeliver",
         "PacketAnswered",
         "ConnectionOpened",
+        "OpenConnection",
         "ConnectionReady",
         "ConnectionData",
         "ConnectionWritten",
--- /dev/null
+++ b/src/bramleydyke/adapters/tcp_upstream.py
@@ -0,0 +1,86 @@
+"""TCP side towards the upstream: one connection for each byte stream."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+
+from bramleydyke.adapters.byte_connection import ByteConnection, take_for
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.constants import STREAM_OPEN_S
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import (
+    ConnectionAbort,
+    ConnectionReady,
+    OpenConnection,
+    Payload,
+)
+from bramleydyke.ports import Counter, Deliver
+from bramleydyke.types import LOCAL_UPSTREAM
+
+
+class TcpUpstream:
+    """Connections to one upstream.
+
+    Attributes:
+        connecting: Attempts that have not ended.
+        open: Open connections.
+    """
+
+    def __init__(
+        self, *, reactor: Any, endpoint: str, deliver: Deliver, count: Counter
+    ) -> None:
+        address = parse_endpoint(endpoint)
+        assert address is not None, endpoint
+        self.client = TCP4ClientEndpoint(reactor, *address, timeout=STREAM_OPEN_S)
+        self.deliver = deliver
+        self.count = count
+        self.connecting: dict[str, Deferred[Any]] = {}
+        self.open: dict[str, ByteConnection] = {}
+
+    def take(self, payload: Payload) -> None:
+        """Takes a message from the agent."""
+        if isinstance(payload, OpenConnection):
+            self._connect(payload.connection)
+            return
+        if isinstance(payload, ConnectionAbort):
+            call = self.connecting.pop(payload.connection, None)
+            if call is not None:
+                call.cancel()
+                return
+        take_for(self.open, payload)
+
+    def close(self) -> None:
+        """Resets all connections."""
+        calls = list(self.connecting.values())
+        self.connecting.clear()
+        for call in calls:
+            call.cancel()
+        for connection in list(self.open.values()):
+            connection.abort()
+
+    def _tell(self, payload: Payload) -> None:
+        if isinstance(payload, ConnectionReady):
+            self.connecting.pop(payload.connection, None)
+        self.deliver(LOCAL_UPSTREAM, payload)
+
+    def _connect(self, name: str) -> None:
+        protocol = ByteConnection(
+            connection=name,
+            opening=ConnectionReady(connection=name),
+            broken=ErrorKind.UPSTREAM_FAILED,
+            tell=self._tell,
+            table=self.open,
+        )
+        call = self.connecting[name] = connectProtocol(self.client, protocol)
+        call.addErrback(lambda _: self._failed(name))
+
+    def _failed(self, name: str) -> None:
+        """Tells the agent, unless it has given the connection up."""
+        if self.connecting.pop(name, None) is None:
+            return
+        self.count("tcp_upstream.not_reached")
+        kind = ErrorKind.UPSTREAM_FAILED
+        self.deliver(LOCAL_UPSTREAM, ConnectionAbort(connection=name, kind=kind))
--- /dev/null
+++ b/src/bramleydyke/adapters/udp_edge.py
@@ -0,0 +1,77 @@
+"""UDP side towards callers: the packets of a balancer's service addresses."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.error import MessageLengthError
+from twisted.internet.protocol import DatagramProtocol
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.adapters.datagrams import RECEIVE_BYTES
+from bramleydyke.messages import PacketIn, PacketOut, Payload
+from bramleydyke.ports import Counter, Deliver
+from bramleydyke.types import LOCAL_CALLER, CallerAddress, ServiceAddress
+
+
+class UdpEdge:
+    """Sockets of all UDP service addresses of one balancer.
+
+    Attributes:
+        sockets: Socket of each service address.
+    """
+
+    def __init__(self, *, reactor: Any, deliver: Deliver, count: Counter) -> None:
+        self.reactor = reactor
+        self.deliver = deliver
+        self.count = count
+        self.sockets: dict[ServiceAddress, _EdgeSocket] = {}
+
+    def listen(self, address: ServiceAddress, endpoint: str) -> None:
+        """Takes the packets of a service address at an ``ip:port``."""
+        parsed = parse_endpoint(endpoint)
+        assert parsed is not None, endpoint
+        socket = _EdgeSocket(self, address)
+        self.reactor.listenUDP(
+            parsed[1], socket, interface=parsed[0], maxPacketSize=RECEIVE_BYTES
+        )
+        self.sockets[address] = socket
+
+    def take(self, payload: Payload) -> None:
+        """Sends a packet to a caller; it may be lost."""
+        if not isinstance(payload, PacketOut):
+            return
+        socket = self.sockets.get(payload.address)
+        caller = parse_endpoint(payload.caller)
+        if socket is None or caller is None:
+            self.count("udp_edge.no_address")
+            return
+        try:
+            socket.transport.write(payload.data, caller)
+        except (OSError, MessageLengthError):
+            self.count("udp_edge.send_failed")
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for socket in self.sockets.values():
+            socket.transport.stopListening()
+        self.sockets.clear()
+
+
+class _EdgeSocket(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, edge: UdpEdge, address: ServiceAddress) -> None:
+        self.edge = edge
+        self.address = address
+
+    def datagramReceived(  # noqa: N802 - name given by twisted
+        self, datagram: bytes, caller: tuple[str, int]
+    ) -> None:
+        """Hands a caller's packet to the balancer."""
+        message = PacketIn(
+            address=self.address,
+            caller=CallerAddress(f"{caller[0]}:{caller[1]}"),
+            data=datagram,
+        )
+        self.edge.deliver(LOCAL_CALLER, message)
--- /dev/null
+++ b/src/bramleydyke/adapters/udp_upstream.py
@@ -0,0 +1,112 @@
+"""UDP side towards the upstream: one connected socket for each flow."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.error import CannotListenError, MessageLengthError
+from twisted.internet.protocol import DatagramProtocol
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.adapters.datagrams import RECEIVE_BYTES
+from bramleydyke.constants import AGENT_FLOWS
+from bramleydyke.messages import FlowReset, PacketAnswered, PacketDeliver, Payload
+from bramleydyke.ports import Counter, Deliver
+from bramleydyke.types import LOCAL_UPSTREAM, FlowId
+
+
+class UdpUpstream:
+    """Sockets towards one upstream.
+
+    A new binding replaces the flow's socket, so that the upstream and the
+    path see a new source port.
+
+    Attributes:
+        sockets: Socket of each flow.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        endpoint: str,
+        deliver: Deliver,
+        count: Counter,
+        max_sockets: int = AGENT_FLOWS,
+    ) -> None:
+        address = parse_endpoint(endpoint)
+        assert address is not None, endpoint
+        self.reactor = reactor
+        self.address = address
+        self.deliver = deliver
+        self.count = count
+        self.max_sockets = max_sockets
+        self.sockets: dict[FlowId, _FlowSocket] = {}
+
+    def take(self, payload: Payload) -> None:
+        """Takes a message from the agent."""
+        if isinstance(payload, PacketDeliver):
+            self._send(payload)
+        elif isinstance(payload, FlowReset):
+            self._close(payload.flow_id)
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for flow_id in list(self.sockets):
+            self._close(flow_id)
+
+    def _send(self, message: PacketDeliver) -> None:
+        socket = self.sockets.get(message.flow_id)
+        if socket is None or socket.binding != message.binding:
+            self._close(message.flow_id)
+            socket = self._open(message)
+        if socket is None:
+            return
+        try:
+            socket.transport.write(message.data)
+        except (OSError, MessageLengthError):
+            self.count("udp_upstream.send_failed")
+
+    def _open(self, message: PacketDeliver) -> _FlowSocket | None:
+        if len(self.sockets) >= self.max_sockets:
+            self.count("udp_upstream.sockets_full")
+            return None
+        socket = _FlowSocket(self, message.flow_id, message.binding)
+        try:
+            self.reactor.listenUDP(0, socket, maxPacketSize=RECEIVE_BYTES)
+        except (CannotListenError, OSError):
+            self.count("udp_upstream.no_socket")
+            return None
+        self.sockets[message.flow_id] = socket
+        return socket
+
+    def _close(self, flow_id: FlowId) -> None:
+        socket = self.sockets.pop(flow_id, None)
+        if socket is not None:
+            socket.transport.stopListening()
+
+
+class _FlowSocket(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, port: UdpUpstream, flow_id: FlowId, binding: int) -> None:
+        self.port = port
+        self.flow_id = flow_id
+        self.binding = binding
+
+    def startProtocol(self) -> None:  # noqa: N802 - name given by twisted
+        """Connects the socket, so that only the upstream's packets pass."""
+        self.transport.connect(*self.port.address)
+
+    def datagramReceived(  # noqa: N802 - name given by twisted
+        self, datagram: bytes, _: tuple[str, int]
+    ) -> None:
+        """Hands the upstream's packet to the agent."""
+        message = PacketAnswered(
+            flow_id=self.flow_id, binding=self.binding, data=datagram
+        )
+        self.port.deliver(LOCAL_UPSTREAM, message)
+
+    def connectionRefused(self) -> None:  # noqa: N802 - name given by twisted
+        """Notes that nothing listens at the upstream; the flow stays."""
+        self.port.count("udp_upstream.refused")
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -220,7 +220,9 @@
 
     def idle(self) -> bool:
         """Tells whether a draining balancer may stop."""
-        return not self.placer.pending and not self.streams.table.streams
+        streams = self.streams
+        no_streams = not streams.opening and not streams.table.streams
+        return not self.placer.pending and no_streams
 
     def usable(self, service_id: ServiceId) -> list[UpstreamId]:
         """Returns the upstreams that may take new work."""
--- a/src/bramleydyke/daemons/agent.py
+++ b/src/bramleydyke/daemons/agent.py
@@ -6,6 +6,8 @@
 from typing import Protocol as TypingProtocol
 
 from bramleydyke.adapters.http_upstream import HttpUpstream
+from bramleydyke.adapters.tcp_upstream import TcpUpstream
+from bramleydyke.adapters.udp_upstream import UdpUpstream
 from bramleydyke.core.agent import Agent
 from bramleydyke.core.credentials import prove
 from bramleydyke.daemons.environment import Environment, new_incarnation
@@ -88,7 +90,29 @@
     )
 
 
+def udp_upstream(node: AgentNode, settings: AgentSettings) -> UpstreamPort:
+    """Returns the port towards a UDP upstream."""
+    return UdpUpstream(
+        reactor=node.environment.reactor,
+        endpoint=settings.upstream_address,
+        deliver=node.runner.from_port,
+        count=node.metrics.count,
+    )
+
+
+def tcp_upstream(node: AgentNode, settings: AgentSettings) -> UpstreamPort:
+    """Returns the port towards a TCP upstream."""
+    return TcpUpstream(
+        reactor=node.environment.reactor,
+        endpoint=settings.upstream_address,
+        deliver=node.runner.from_port,
+        count=node.metrics.count,
+    )
+
+
 UPSTREAM_PORTS: dict[Protocol, Callable[[AgentNode, AgentSettings], UpstreamPort]] = {
-    Protocol.HTTP: http_upstream
+    Protocol.HTTP: http_upstream,
+    Protocol.UDP: udp_upstream,
+    Protocol.TCP: tcp_upstream,
 }
-"""Makes the upstream port, by protocol; settings refuse all others."""
+"""Makes the upstream port, by protocol."""
--- a/src/bramleydyke/daemons/balancer.py
+++ b/src/bramleydyke/daemons/balancer.py
@@ -7,9 +7,12 @@
 
 from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.http_edge import CallerPort, EdgeConnections
+from bramleydyke.adapters.tcp_edge import TcpEdge
+from bramleydyke.adapters.udp_edge import UdpEdge
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.daemons.environment import Environment, new_incarnation
 from bramleydyke.daemons.node import Node, random_source
+from bramleydyke.messages import AnswerCaller, PacketOut, Payload, RefuseCaller
 from bramleydyke.settings import (
     BalancerSettings,
     Edge,
@@ -26,6 +29,8 @@
 
     Attributes:
         callers: Callers that wait.
+        packets: Sockets of the UDP edges.
+        streams: Connections of the TCP edges.
         listeners: Ports that take callers' connections.
     """
 
@@ -50,7 +55,12 @@
         self.callers = CallerPort(
             deliver=self.runner.from_port, count=self.metrics.count
         )
-        self.runner.ports[LOCAL_CALLER] = self.callers.take
+        deliver = self.runner.from_port
+        self.packets = UdpEdge(
+            reactor=environment.reactor, deliver=deliver, count=self.metrics.count
+        )
+        self.streams = TcpEdge(deliver=deliver)
+        self.runner.ports[LOCAL_CALLER] = self._to_caller
         self.factories: list[EdgeConnections] = []
         self.listeners: list[Any] = []
 
@@ -61,11 +71,23 @@
             LISTEN[edge.protocol](self, edge)
 
     def drain(self) -> None:
-        """Takes no new connections; open ones still get answers."""
+        """Takes no new connections; open ones still get answers.
+
+        Packets are still taken: the fabric may send any flow's packets here
+        until it knows that this balancer is gone.
+        """
         self.log.info("draining")
         self.callers.draining = True
         self._close_listeners()
 
+    def idle(self) -> bool:
+        """Tells whether no caller's request or connection is left.
+
+        The last bytes of a stream may still be in a connection's buffer when
+        the role has passed them on.
+        """
+        return super().idle() and not self.callers.waiting and not self.streams.open
+
     def stop(self, *, abrupt: bool = False) -> None:
         """Stops.
 
@@ -73,7 +95,9 @@
             abrupt: True breaks callers' connections, as a crash does.
         """
         self._close_listeners()
+        self.packets.close()
         super().stop(**({"linger_ms": 0} if abrupt else {}))
+        self.streams.break_all()
         for factory in self.factories:
             if abrupt:
                 factory.break_all()
@@ -84,13 +108,35 @@
         """Opens the edge of an HTTP service."""
         reactor = self.environment.reactor
         factory = self.callers.connections(service_address(edge), reactor=reactor)
+        self.factories.append(factory)
+        self._accept(edge, factory)
+
+    def listen_udp(self, edge: Edge) -> None:
+        """Opens the edge of a UDP service."""
+        self.packets.listen(service_address(edge), edge.listen)
+
+    def listen_tcp(self, edge: Edge) -> None:
+        """Opens the edge of a TCP service."""
+        self._accept(edge, self.streams.connections(service_address(edge)))
+
+    def _accept(self, edge: Edge, factory: Any) -> None:
         address = parse_endpoint(edge.listen)
         assert address is not None, edge.listen
-        self.factories.append(factory)
         self.listeners.append(
-            reactor.listenTCP(address[1], factory, interface=address[0], backlog=511)
+            self.environment.reactor.listenTCP(
+                address[1], factory, interface=address[0], backlog=511
+            )
         )
 
+    def _to_caller(self, payload: Payload) -> None:
+        """Passes a message to the edge of its protocol."""
+        if isinstance(payload, PacketOut):
+            self.packets.take(payload)
+        elif isinstance(payload, AnswerCaller | RefuseCaller):
+            self.callers.take(payload)
+        else:
+            self.streams.take(payload)
+
     def _close_listeners(self) -> None:
         for listener in self.listeners:
             listener.stopListening()
@@ -99,5 +145,7 @@
 
 LISTEN: dict[Protocol, Callable[[BalancerNode, Edge], None]] = {
     Protocol.HTTP: BalancerNode.listen_http,
+    Protocol.UDP: BalancerNode.listen_udp,
+    Protocol.TCP: BalancerNode.listen_tcp,
 }
-"""Opens an edge, by protocol; settings refuse all others."""
+"""Opens an edge, by protocol."""
--- a/src/bramleydyke/demo/system.py
+++ b/src/bramleydyke/demo/system.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Protocol as TypingProtocol
 
 from bramleydyke.adapters.platform_client import PlatformClient
 from bramleydyke.core.config import ServiceConfig, UpstreamSpec
@@ -20,11 +21,19 @@
     PlatformSettings,
     Seed,
 )
+from bramleydyke.standins.board import BoardServer
+from bramleydyke.standins.documents import DocumentServer
 from bramleydyke.standins.fabric import Fabric
 from bramleydyke.standins.ledger import Ledger
 from bramleydyke.standins.platform import PlatformServer
 from bramleydyke.standins.upstream import Behaviour, Upstream, UpstreamServer
-from bramleydyke.types import AvailabilityZone, Generation, PartnerId, UpstreamId
+from bramleydyke.types import (
+    AvailabilityZone,
+    Generation,
+    PartnerId,
+    Protocol,
+    UpstreamId,
+)
 
 NODE_CREDENTIAL = "node-demo"
 CONTROL_CREDENTIAL = "control-demo"
@@ -35,6 +44,13 @@
     return f"{partner_id}-demo"
 
 
+class UpstreamStandIn(TypingProtocol):
+    """An upstream that listens."""
+
+    def stop(self) -> None:
+        """Stops to listen."""
+
+
 class System:
     """The system and its surroundings.
 
@@ -43,6 +59,7 @@
         agents: Running agents by upstream.
         upstreams: Upstream stand-ins, which outlive their agents.
         ledger: What ran at the upstreams.
+        killed: Endpoints of edges whose balancer was killed.
         retired: Nodes that were stopped or killed, with their counters.
     """
 
@@ -71,7 +88,8 @@
         self.services: dict[str, ServiceConfig] = {}
         self.balancers: dict[str, BalancerNode] = {}
         self.agents: dict[UpstreamId, AgentNode] = {}
-        self.upstreams: dict[UpstreamId, UpstreamServer] = {}
+        self.upstreams: dict[UpstreamId, UpstreamStandIn] = {}
+        self.killed: set[str] = set()
         self.retired: list[Node] = []
         self.ledger = Ledger()
         self.fabric = Fabric(
@@ -96,16 +114,8 @@
     def add_upstream(self, service: ServiceConfig, spec: UpstreamSpec) -> None:
         """Starts an upstream and the agent beside it."""
         listen = free_endpoint()
-        upstream = Upstream(
-            service_id=service.service_id,
-            behaviour=Behaviour(slots=spec.slots),
-            ledger=self.ledger,
-            clock=self.environment.clock,
-            random_source=random.Random(f"{self.seed}/{spec.upstream_id}"),
-        )
-        self.upstreams[spec.upstream_id] = UpstreamServer(
-            upstream, reactor=self.environment.reactor, listen=listen
-        )
+        make = STAND_INS[service.protocol]
+        self.upstreams[spec.upstream_id] = make(self, service, spec, listen)
         settings = self._agent_settings(service, spec, listen)
         agent = AgentNode(settings, environment=self.environment)
         self.agents[spec.upstream_id] = agent
@@ -139,8 +149,13 @@
         """Stops a balancer as a crash does; the fabric is not told."""
         balancer = self.balancers.pop(name)
         self.retired.append(balancer)
+        self.killed.update(edge.listen for edge in balancer.edges)
         balancer.stop(abrupt=True)
 
+    def lost_with_balancer(self, caller_port: int) -> bool:
+        """Tells whether a connection went through a killed balancer."""
+        return self.fabric.routes.get(caller_port) in self.killed
+
     def drain_agent(self, upstream_id: UpstreamId, *, notice_s: float) -> None:
         """Drains an agent; it stops when its last request has ended."""
         agent = self.agents[upstream_id]
@@ -227,3 +242,54 @@
             node_credential=NODE_CREDENTIAL,
             control_credential=CONTROL_CREDENTIAL,
         )
+
+
+def http_stand_in(
+    system: System, service: ServiceConfig, spec: UpstreamSpec, listen: str
+) -> UpstreamStandIn:
+    """Starts an HTTP upstream."""
+    upstream = Upstream(
+        service_id=service.service_id,
+        behaviour=Behaviour(slots=spec.slots),
+        ledger=system.ledger,
+        clock=system.environment.clock,
+        random_source=random.Random(f"{system.seed}/{spec.upstream_id}"),
+    )
+    return UpstreamServer(upstream, reactor=system.environment.reactor, listen=listen)
+
+
+def udp_stand_in(
+    system: System, service: ServiceConfig, spec: UpstreamSpec, listen: str
+) -> UpstreamStandIn:
+    """Starts a UDP upstream."""
+    return BoardServer(
+        service_id=service.service_id,
+        upstream_id=spec.upstream_id,
+        ledger=system.ledger,
+        clock=system.environment.clock,
+        reactor=system.environment.reactor,
+        listen=listen,
+    )
+
+
+def tcp_stand_in(
+    system: System, service: ServiceConfig, _: UpstreamSpec, listen: str
+) -> UpstreamStandIn:
+    """Starts a TCP upstream."""
+    return DocumentServer(
+        service_id=service.service_id,
+        ledger=system.ledger,
+        clock=system.environment.clock,
+        reactor=system.environment.reactor,
+        listen=listen,
+    )
+
+
+StartStandIn = Callable[[System, ServiceConfig, UpstreamSpec, str], UpstreamStandIn]
+
+STAND_INS: dict[Protocol, StartStandIn] = {
+    Protocol.HTTP: http_stand_in,
+    Protocol.UDP: udp_stand_in,
+    Protocol.TCP: tcp_stand_in,
+}
+"""Starts an upstream, by protocol."""
--- a/src/bramleydyke/settings.py
+++ b/src/bramleydyke/settings.py
@@ -53,7 +53,7 @@
 Slots = Annotated[int, Meta(ge=1, le=100_000)]
 
 
-SUPPORTED = frozenset({Protocol.HTTP})
+SUPPORTED = frozenset({Protocol.HTTP, Protocol.TCP, Protocol.UDP})
 """Protocols with an edge and an upstream port; extend it with them."""
 
 
--- /dev/null
+++ b/src/bramleydyke/standins/documents.py
@@ -0,0 +1,112 @@
+"""A TCP upstream: sends documents of known content."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.ports import Clock, DelayedCall
+from bramleydyke.standins.ledger import Ledger
+from bramleydyke.types import ServiceId
+
+PIECE_BYTES = 16 * 1024
+"""Part of a document that is sent at a time."""
+
+
+class Download(msgspec.Struct, frozen=True):
+    """A caller's request, as one line of JSON."""
+
+    service: ServiceId
+    """The service that the caller means."""
+
+    name: str
+    size: int
+    """Length of the document in bytes."""
+
+    pause_s: float = 0.0
+    """Pause after each piece."""
+
+
+def document(download: Download) -> bytes:
+    """Returns the content of a document."""
+    return random.Random(f"{download.service}/{download.name}").randbytes(download.size)
+
+
+class DocumentServer:
+    """Documents of one upstream.
+
+    Attributes:
+        open: Number of connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        service_id: ServiceId,
+        ledger: Ledger,
+        clock: Clock,
+        reactor: Any,
+        listen: str,
+    ) -> None:
+        self.service_id = service_id
+        self.ledger = ledger
+        self.clock = clock
+        self.open = 0
+        address = parse_endpoint(listen)
+        assert address is not None, listen
+        factory = Factory.forProtocol(lambda: _Reader(self))
+        factory.noisy = False
+        self.port = reactor.listenTCP(address[1], factory, interface=address[0])
+
+    def stop(self) -> None:
+        """Stops to listen."""
+        self.port.stopListening()
+
+
+class _Reader(LineOnlyReceiver):
+    delimiter = b"\n"
+
+    def __init__(self, server: DocumentServer) -> None:
+        self.server = server
+        self.left = b""
+        self.timer: DelayedCall | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802 - name given by twisted
+        self.server.open += 1
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802 - as above
+        """Starts to send the document that a line names."""
+        try:
+            download = msgspec.json.decode(line, type=Download)
+        except msgspec.DecodeError:
+            self.server.ledger.unrecognised += 1
+            self.transport.abortConnection()
+            return
+        server = self.server
+        server.ledger.meant(download.service, service_id=server.service_id)
+        # The server's own service, so that a wrong one shows in the content.
+        own = msgspec.structs.replace(download, service=server.service_id)
+        self.left = document(own)
+        self._send(download.pause_s)
+
+    def connectionLost(  # noqa: N802 - name given by twisted
+        self, reason: Failure = connectionDone
+    ) -> None:
+        self.server.open -= 1
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def _send(self, pause_s: float) -> None:
+        size = PIECE_BYTES if pause_s else len(self.left)
+        self.transport.write(self.left[:size])
+        self.left = self.left[size:]
+        if self.left:
+            self.timer = self.server.clock.callLater(pause_s, self._send, pause_s)
+        else:
+            self.transport.loseConnection()
--- a/src/bramleydyke/standins/fabric.py
+++ b/src/bramleydyke/standins/fabric.py
@@ -30,12 +30,14 @@
         targets: Where each balancer takes the traffic of an address; changed
             as balancers join. A balancer that is gone is found out by trying.
         passed: Connections by balancer endpoint.
+        routes: Balancer endpoint of the last connection from each port.
     """
 
     reactor: Any
     random_source: random.Random
     targets: dict[str, list[str]] = field(default_factory=dict)
     passed: dict[str, int] = field(default_factory=dict)
+    routes: dict[int, str] = field(default_factory=dict)
     ports: list[Any] = field(default_factory=list)
 
     def listen(self, address: str, protocol: ServiceProtocol) -> None:
@@ -121,6 +123,7 @@
             return
         passed = self.fabric.passed
         passed[endpoint] = passed.get(endpoint, 0) + 1
+        self.fabric.routes[self.transport.getPeer().port] = endpoint
         self.other = other
         other.transport.setTcpNoDelay(True)
         other.transport.registerProducer(self.transport, True)
--- a/src/bramleydyke/standins/ledger.py
+++ b/src/bramleydyke/standins/ledger.py
@@ -45,13 +45,17 @@
         except msgspec.DecodeError:
             self.unrecognised += 1
             return
-        if work.service != service_id:
-            self.wrong_service += 1
+        self.meant(work.service, service_id=service_id)
         if work.idempotent:
             self.idempotent_runs += 1
         else:
             self.runs[work.id] += 1
 
+    def meant(self, service: ServiceId, *, service_id: ServiceId) -> None:
+        """Counts a payload that was meant for another service."""
+        if service != service_id:
+            self.wrong_service += 1
+
     def ran_twice(self) -> int:
         """Returns how many non-idempotent pieces of work ran twice."""
         return sum(1 for runs in self.runs.values() if runs > 1)
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -7,12 +7,21 @@
 from hypothesis import given, settings, strategies as st
 from returns.result import Failure, Success
 
-from bramleydyke.adapters.codec import Received, decode, encode, parse_endpoint
+from bramleydyke.adapters.codec import (
+    DATAGRAM_MESSAGES,
+    LOCAL_MESSAGES,
+    Received,
+    decode,
+    encode,
+    parse_endpoint,
+    remote_types,
+)
 from bramleydyke.constants import MAX_FRAME_BYTES, WIRE_VERSION
 from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import (
     CancelRequest,
     Envelope,
+    Message,
     Offer,
     Payload,
     RequestDone,
@@ -23,6 +32,26 @@
 CANCEL = CancelRequest(
     request_id=RequestId("r"), placement=1, ask=2, incarnation=Incarnation(3)
 )
+LINK_MESSAGES = frozenset(
+    {
+        "Offer",
+        "CancelRequest",
+        "Accepted",
+        "Refusal",
+        "Answer",
+        "Cancelled",
+        "RecordQuery",
+        "RecordReply",
+        "StreamOpen",
+        "StreamOpened",
+        "StreamData",
+        "StreamAck",
+        "StreamClose",
+        "StreamReset",
+    }
+)
+"""Messages that are known to go by link only."""
+
 REFUSALS = {ErrorKind.BAD_FRAME, ErrorKind.BAD_VERSION, ErrorKind.FRAME_TOO_LARGE}
 
 
@@ -88,6 +117,15 @@
     assert decode(frame(forged)) == Failure(ErrorKind.BAD_FRAME)
 
 
+def test_every_message_has_one_way() -> None:
+    """Guards against a new message that peers may forge, or goes unsent."""
+    remote = {cls.__name__ for cls in remote_types()}
+    assert remote == LINK_MESSAGES | DATAGRAM_MESSAGES
+    assert not LINK_MESSAGES & DATAGRAM_MESSAGES
+    assert not LOCAL_MESSAGES & (LINK_MESSAGES | DATAGRAM_MESSAGES)
+    assert {cls.__name__ for cls in Message.__subclasses__()} >= LOCAL_MESSAGES
+
+
 def test_oversized_message_is_not_encoded() -> None:
     """Guards against a frame that every receiver would refuse."""
     big = Envelope(NodeId("a"), NodeId("b"), offer(payload=b"x" * MAX_FRAME_BYTES))
--- a/tests/adapters/test_path.py
+++ b/tests/adapters/test_path.py
@@ -36,11 +36,11 @@
 SEED = 7
 
 
-def service_of(partner: PartnerId, upstreams: int) -> ServiceConfig:
+def service_of(partner: PartnerId, upstreams: int, protocol: Protocol) -> ServiceConfig:
     return ServiceConfig(
         service_id=ServiceId(f"{partner}/s"),
         partner_id=partner,
-        protocol=Protocol.HTTP,
+        protocol=protocol,
         addresses=(ServiceAddress(free_endpoint()),),
         upstreams=tuple(
             UpstreamSpec(UpstreamId(f"{partner}-{n}"), ZONE) for n in range(upstreams)
@@ -51,7 +51,7 @@
 class Place:
     """A running system with one service of each partner."""
 
-    def __init__(self, upstreams: int) -> None:
+    def __init__(self, upstreams: int, protocol: Protocol = Protocol.HTTP) -> None:
         self.env = environment()
         self.system = System(
             environment=self.env,
@@ -60,7 +60,9 @@
             balancer_names=("b1", "b2"),
         )
         self.system.start_platform()
-        self.services = [service_of(partner, upstreams) for partner in PARTNERS]
+        self.services = [
+            service_of(partner, upstreams, protocol) for partner in PARTNERS
+        ]
         for service in self.services:
             self.system.services[service.addresses[0]] = service
         for name in ("b1", "b2"):
--- /dev/null
+++ b/tests/adapters/test_services.py
@@ -0,0 +1,235 @@
+"""Datagrams and byte streams over real sockets, through the whole system."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+
+import msgspec
+import pytest
+from reactor_harness import reactor, spin
+from test_path import Place
+from twisted.internet.protocol import DatagramProtocol, Protocol as Connection
+
+from bramleydyke.adapters.udp_upstream import UdpUpstream
+from bramleydyke.constants import STREAM_WINDOW_BYTES
+from bramleydyke.daemons.agent import UPSTREAM_PORTS
+from bramleydyke.daemons.balancer import LISTEN
+from bramleydyke.errors import ErrorKind
+from bramleydyke.messages import FlowReset, PacketAnswered, PacketDeliver, Payload
+from bramleydyke.settings import SUPPORTED
+from bramleydyke.standins.board import Subscribe, Tick
+from bramleydyke.standins.documents import Download, document
+from bramleydyke.types import (
+    CallerAddress,
+    FlowId,
+    Protocol,
+    ServiceAddress,
+    ServiceId,
+    UpstreamId,
+)
+
+
+class Watcher(DatagramProtocol):
+    """A caller of a board."""
+
+    noisy = False
+
+    def __init__(self) -> None:
+        self.ticks: list[Tick] = []
+        reactor.listenUDP(0, self, interface="127.0.0.1")
+
+    def datagramReceived(self, datagram: bytes, _: object) -> None:  # noqa: N802
+        self.ticks.append(msgspec.json.decode(datagram, type=Tick))
+
+
+class Reader(Connection):
+    """A caller of a document."""
+
+    def __init__(self, download: Download) -> None:
+        self.download = download
+        self.data = b""
+        self.ended = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.write(msgspec.json.encode(self.download) + b"\n")
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.data += data
+
+    def connectionLost(self, _: object) -> None:  # type: ignore[override] # noqa: N802
+        self.ended = True
+
+
+@pytest.fixture()
+def start() -> Iterator[Callable[[Protocol], Place]]:
+    places = []
+
+    def make(protocol: Protocol) -> Place:
+        places.append(Place(3, protocol))
+        return places[-1]
+
+    yield make
+    for place in places:
+        place.system.stop()
+        spin(lambda place=place: not place.system.agents)
+
+
+def subscribe(place: Place, watcher: Watcher, number: int, service: int = 0) -> None:
+    config = place.services[service]
+    host, port = config.addresses[0].split(":")
+    packet = Subscribe(config.service_id, f"f{service}", number)
+    watcher.transport.write(msgspec.json.encode(packet), (host, int(port)))
+
+
+def read(place: Place, size: int, *, service: int = 0, pause_s: float = 0.0) -> Reader:
+    config = place.services[service]
+    host, port = config.addresses[0].split(":")
+    reader = Reader(Download(config.service_id, "bulletin", size, pause_s))
+    reactor.connectTCP(host, int(port), _once(reader))
+    return reader
+
+
+def _once(reader: Reader) -> object:
+    from twisted.internet.protocol import ClientFactory
+
+    factory = ClientFactory.forProtocol(lambda: reader)
+    factory.noisy = False
+    return factory
+
+
+def test_every_protocol_has_its_adapters() -> None:
+    """Guards against settings that are accepted but cannot be served."""
+    assert set(LISTEN) == set(UPSTREAM_PORTS) == SUPPORTED == set(Protocol)
+
+
+def test_flow_stays_at_its_upstream_when_a_balancer_dies(
+    start: Callable[[Protocol], Place],
+) -> None:
+    """Guards against a board that moves, stops or crosses (H1, H2)."""
+    place = start(Protocol.UDP)
+    watchers = [Watcher(), Watcher()]
+
+    def exchange(first: int) -> None:
+        for number in range(first, first + 12):
+            for service, watcher in enumerate(watchers):
+                subscribe(place, watcher, number, service)
+            spin(
+                lambda number=number: all(
+                    any(t.number == number and not t.pushed for t in w.ticks)
+                    for w in watchers
+                )
+            )
+
+    exchange(0)
+    place.system.kill_balancer("b1")
+    place.system.fabric.targets = {
+        address: [edge for edge in edges if edge not in place.system.killed]
+        for address, edges in place.system.fabric.targets.items()
+    }
+    exchange(100)
+    spin(lambda: all(any(t.pushed for t in w.ticks) for w in watchers))
+    for service, watcher in enumerate(watchers):
+        assert {t.service for t in watcher.ticks} == {
+            place.services[service].service_id
+        }
+        assert len({t.upstream for t in watcher.ticks}) == 1
+        watcher.transport.stopListening()
+    assert place.system.ledger.wrong_service == 0
+
+
+def test_documents_arrive_whole(start: Callable[[Protocol], Place]) -> None:
+    """Guards against bytes lost, doubled or crossed between streams."""
+    place = start(Protocol.TCP)
+    size = 5 * STREAM_WINDOW_BYTES + 1
+    readers = [read(place, size, service=n % 2) for n in range(6)]
+    spin(lambda: all(reader.ended for reader in readers))
+    for reader in readers:
+        assert reader.data == document(reader.download)
+    assert place.system.ledger.wrong_service == 0
+    spin(lambda: all(node.idle() for node in place.system.balancers.values()))
+
+
+def test_slow_caller_holds_back_the_upstream(
+    start: Callable[[Protocol], Place],
+) -> None:
+    """Guards against buffers that grow with a caller that does not read."""
+    place = start(Protocol.TCP)
+    size = 64 * STREAM_WINDOW_BYTES
+    reader = read(place, size)
+    spin(lambda: reader.data)
+    reader.transport.pauseProducing()
+    edges = [node.streams for node in place.system.balancers.values()]
+    spin(lambda: any(c.blocked for edge in edges for c in edge.open.values()))
+    for _ in range(50):
+        reactor.iterate(0.01)
+    held = [c.unreported for edge in edges for c in edge.open.values()]
+    assert held and max(held) <= STREAM_WINDOW_BYTES
+    reader.transport.resumeProducing()
+    spin(lambda: reader.ended)
+    assert reader.data == document(reader.download)
+
+
+def test_draining_balancer_keeps_its_stream(
+    start: Callable[[Protocol], Place],
+) -> None:
+    """Guards against a planned stop that cuts a download (H7)."""
+    place = start(Protocol.TCP)
+    reader = read(place, 20 * 16 * 1024, pause_s=0.02)
+    spin(lambda: reader.data)
+    node = next(n for n in place.system.balancers.values() if n.streams.open)
+    node.drain()
+    assert not node.idle()
+    spin(lambda: reader.ended)
+    assert reader.data == document(reader.download)
+    spin(node.idle)
+
+
+def test_sockets_follow_bindings_and_are_bounded() -> None:
+    """Guards against a rebind that keeps its port, and unbounded sockets."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as upstream:
+        upstream.bind(("127.0.0.1", 0))
+        upstream.settimeout(5)
+        got: list[Payload] = []
+        counts: list[str] = []
+        port = UdpUpstream(
+            reactor=reactor,
+            endpoint=f"127.0.0.1:{upstream.getsockname()[1]}",
+            deliver=lambda _, payload: got.append(payload),
+            count=counts.append,
+            max_sockets=1,
+        )
+
+        def deliver(flow: int, binding: int) -> None:
+            port.take(
+                PacketDeliver(
+                    flow_id=FlowId(flow),
+                    binding=binding,
+                    address=ServiceAddress("127.0.0.1:1"),
+                    caller=CallerAddress("127.0.0.1:2"),
+                    data=b"x",
+                )
+            )
+
+        deliver(1, 1)
+        deliver(1, 1)
+        deliver(1, 2)
+        sources = [upstream.recvfrom(10)[1] for _ in range(3)]
+        assert sources[0] == sources[1] != sources[2]
+        upstream.sendto(b"late", sources[0])
+        upstream.sendto(b"y", sources[2])
+        spin(lambda: got)
+        assert got == [PacketAnswered(flow_id=FlowId(1), binding=2, data=b"y")]
+        deliver(2, 1)
+        assert counts == ["udp_upstream.sockets_full"]
+        port.take(
+            FlowReset(
+                flow_id=FlowId(1),
+                service_id=ServiceId("p/s"),
+                upstream_id=UpstreamId("u"),
+                kind=ErrorKind.CANCELLED,
+            )
+        )
+        deliver(2, 1)
+        assert len(port.sockets) == 1
+        port.close()
--- a/tests/adapters/test_settings.py
+++ b/tests/adapters/test_settings.py
@@ -47,7 +47,7 @@
         ({"slots": 0}, ["$.slots", ">= 1", "is 0"]),
         ({"listen": "localhost:1"}, ["$.listen", "ip:port", '"localhost:1"']),
         ({"listen": "127.0.0.1:70000"}, ["$.listen", "ip:port"]),
-        ({"protocol": "udp"}, ["protocol", "`udp`", "http"]),
+        ({"protocol": "sctp"}, ["protocol", "sctp"]),
         ({"zome": "fes"}, ["unknown field `zome`"]),
         ({"service": "bourse"}, ["$.service", "partner/name", '"bourse"']),
         ({"seeds": [{"node_id": "x", "endpoint": "1.2.3.4:5"}]}, ["seeds[0].node_id"]),
