Add boards and downloads to the demo; test downloads through SIGTERM

Cause: the demo had traffic for HTTP services only, and no test stopped a program while it carried a stream.

Change: each partner has a UDP service in the demo, whose boards are held from the start of the traffic to its end; bulletin-laitier gets downloads of known content. A board is broken if another upstream answers it or if it is silent for 3 s. A download that breaks on a connection which the fabric had passed to a killed balancer counts as lost with it, any other as broken. One upstream of each protocol is drained and one weight of each changes. A download of 5 s runs while the balancer, or the agent, gets SIGTERM, as processes.

--- a/src/bramleydyke/demo/deployment.py
+++ b/src/bramleydyke/demo/deployment.py
@@ -47,6 +47,26 @@
     services: tuple[DeployedService, ...]
 
 
+BOARDS = {
+    PartnerId("federation"): "price-board",
+    PartnerId("studio"): "preview-stream",
+}
+"""Each partner's UDP service, which only the demo has."""
+
+
+def with_board(deployment: Deployment) -> Deployment:
+    """Returns a deployment with the partner's UDP service of the demo."""
+    board = DeployedService(
+        name=BOARDS[deployment.partner],
+        protocol=Protocol.UDP,
+        upstreams=4,
+        slots=2,
+        connections=2_000,
+    )
+    services = (*deployment.services, board)
+    return msgspec.structs.replace(deployment, services=services)
+
+
 def load_deployments(directory: Path = EXAMPLES) -> list[Deployment]:
     """Returns both deployments."""
     return [
--- a/src/bramleydyke/demo/main.py
+++ b/src/bramleydyke/demo/main.py
@@ -11,7 +11,7 @@
 
 from bramleydyke.adapters.logs import json_handler
 from bramleydyke.daemons.environment import environment_of
-from bramleydyke.demo.deployment import load_deployments
+from bramleydyke.demo.deployment import load_deployments, with_board
 from bramleydyke.demo.scenario import Scenario
 
 IN_FORCE_LIMIT_S = 7.0
@@ -49,7 +49,7 @@
     with json_handler(level="WARNING").applicationbound():
         scenario = Scenario(
             environment=environment,
-            deployments=load_deployments(),
+            deployments=[with_board(item) for item in load_deployments()],
             seed=seed,
             say=click.echo,
             finish=finish,
--- a/src/bramleydyke/demo/scenario.py
+++ b/src/bramleydyke/demo/scenario.py
@@ -29,7 +29,14 @@
 """Wait for open work and generations after the traffic has stopped."""
 
 CHANGED_SERVICE = ServiceId("federation/bourse-beurre")
-"""The service that gets a new weight, and loses an upstream by a drain."""
+"""The service that loses an upstream by a drain and then by the sheet."""
+
+CHANGED_SERVICES = (
+    CHANGED_SERVICE,
+    ServiceId("federation/bulletin-laitier"),
+    ServiceId("federation/price-board"),
+)
+"""Services, one of each protocol, with a drain and a new weight."""
 
 
 class Scenario:
@@ -85,8 +92,8 @@
             (5.0, "the studio puts a new sheet into force", self._grow),
             (8.0, "a balancer is killed", lambda: self.system.kill_balancer("b1")),
             (10.0, "a balancer joins", self._join),
-            (12.0, "an upstream is drained", self._drain),
-            (15.0, "a weight changes", self._reweigh),
+            (12.0, "an upstream of each protocol is drained", self._drain),
+            (15.0, "a weight of each protocol changes", self._reweigh),
             (17.0, "the platform goes down", lambda: self._outage(True)),
             (17.0 + OUTAGE_S, "the platform is back", lambda: self._outage(False)),
             (21.0, "the federation puts a new sheet into force", self._restore),
@@ -108,10 +115,7 @@
     def _start(self) -> None:
         self.system.start_platform()
         for service in self._services():
-            if service.protocol in TRAFFIC:
-                self.system.add_service(service)
-            else:
-                self.say(f"         no traffic: {service.service_id}")
+            self.system.add_service(service)
         for name, zone in zip(BALANCERS[:-1], self.zones, strict=False):
             self.system.add_balancer(name, zone=zone)
 
@@ -132,10 +136,9 @@
 
     def _traffic(self) -> None:
         for service in self._services():
-            if service.protocol in TRAFFIC:
-                source = random.Random(f"{self.seed}/{service.service_id}")
-                make = TRAFFIC[service.protocol]
-                self.traffic.append(make(self.environment, service, source))
+            source = random.Random(f"{self.seed}/{service.service_id}")
+            make = TRAFFIC[service.protocol]
+            self.traffic.append(make(self.system, service, source))
         for item in self.traffic:
             item.start()
 
@@ -155,22 +158,28 @@
         self.system.add_balancer(BALANCERS[-1], zone=self.zones[-1])
 
     def _drain(self) -> None:
-        upstream_id = self._federation_service().upstreams[0].upstream_id
-        self.system.drain_agent(upstream_id, notice_s=DRAIN_NOTICE_S)
+        for service_id in CHANGED_SERVICES:
+            upstream_id = self._federation_service(service_id).upstreams[0].upstream_id
+            self.system.drain_agent(upstream_id, notice_s=DRAIN_NOTICE_S)
 
     def _reweigh(self) -> None:
-        service = self._federation_service()
-        heavy = msgspec.structs.replace(service.upstreams[1], weight=2.0)
-        upstreams = (service.upstreams[0], heavy, *service.upstreams[2:])
-        self._change(service, upstreams=upstreams)
+        sheet = self.sheets[PartnerId("federation")]
+        for service_id in CHANGED_SERVICES:
+            service = self._federation_service(service_id)
+            heavy = msgspec.structs.replace(service.upstreams[1], weight=2.0)
+            upstreams = (service.upstreams[0], heavy, *service.upstreams[2:])
+            sheet[service_id] = msgspec.structs.replace(service, upstreams=upstreams)
+        self._write(PartnerId("federation"))
 
     def _restore(self) -> None:
         """Takes the drained upstream out of the sheet."""
         service = self._federation_service()
         self._change(service, upstreams=service.upstreams[1:])
 
-    def _federation_service(self) -> ServiceConfig:
-        return self.sheets[PartnerId("federation")][CHANGED_SERVICE]
+    def _federation_service(
+        self, service_id: ServiceId = CHANGED_SERVICE
+    ) -> ServiceConfig:
+        return self.sheets[PartnerId("federation")][service_id]
 
     def _change(self, service: ServiceConfig, **fields: Any) -> None:
         changed = msgspec.structs.replace(service, **fields)
@@ -212,10 +221,13 @@
             "unknown": counts["unknown"],
             "wrong_answer": counts["wrong_answer"],
             "ran_twice": ledger.ran_twice(),
+            "downloads": counts["downloads"],
             "flows": counts["flows"],
             "broken_flows": counts["broken_flows"],
             "flows_lost_with_balancer": counts["flows_lost_with_balancer"],
-            "wrong_service": ledger.wrong_service + ledger.unrecognised,
+            "wrong_service": counts["wrong_service"]
+            + ledger.wrong_service
+            + ledger.unrecognised,
             "generations": len(in_force),
             "generation_in_force_s": round(max(in_force, default=0.0), 3),
             "failures": self.failures,
--- /dev/null
+++ b/src/bramleydyke/demo/tcp_traffic.py
@@ -0,0 +1,130 @@
+"""Callers of one TCP service, which download documents."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.standins.documents import Download, document
+from bramleydyke.types import ServiceId
+
+SIZE_BYTES = 480_000
+"""Length of a document: more than one stream window."""
+
+PAUSE_S = 0.05
+"""Pause after each piece, so that a download takes about 1.5 s."""
+
+
+@dataclass(slots=True, kw_only=True)
+class TcpTraffic:
+    """Poisson arrivals of downloads from one service.
+
+    Attributes:
+        rate: Downloads a second.
+        lost: Tells whether a caller port's balancer was killed.
+        counts: ``flows``, and how those ended that were not complete.
+        errors: Breaks by where they came from.
+    """
+
+    environment: Environment
+    service_id: ServiceId
+    address: str
+    rate: float
+    random_source: random.Random
+    lost: Callable[[int], bool]
+    counts: Counter[str] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+    open: int = 0
+    stopped: bool = False
+
+    def start(self) -> None:
+        """Starts to download."""
+        self._schedule()
+
+    def stop(self) -> None:
+        """Starts no new download; what is open goes on."""
+        self.stopped = True
+
+    def ended(self) -> bool:
+        """Tells whether no download is open."""
+        return self.stopped and self.open == 0
+
+    def finished(self, download: Download, data: bytes, port: int | None) -> None:
+        """Judges a download.
+
+        Args:
+            download: What was asked for.
+            data: What came until the connection ended.
+            port: The caller's port, or None if it could not connect.
+        """
+        self.open -= 1
+        whole = document(download)
+        if data == whole:
+            self.counts["downloads"] += 1
+        elif not whole.startswith(data):
+            self.counts["wrong_answer"] += 1
+        elif port is not None and self.lost(port):
+            self.counts["flows_lost_with_balancer"] += 1
+        else:
+            self.errors["download broken"] += 1
+            self.counts["broken_flows"] += 1
+
+    def _schedule(self) -> None:
+        delay = self.random_source.expovariate(self.rate)
+        self.environment.clock.callLater(delay, self._arrive)
+
+    def _arrive(self) -> None:
+        if self.stopped:
+            return
+        self._schedule()
+        self.counts["flows"] += 1
+        self.open += 1
+        name = str(self.counts["flows"])
+        download = Download(self.service_id, name, SIZE_BYTES, PAUSE_S)
+        address = parse_endpoint(self.address)
+        assert address is not None, self.address
+        self.environment.reactor.connectTCP(*address, _Caller(self, download))
+
+
+class _Caller(ClientFactory):
+    noisy = False
+
+    def __init__(self, traffic: TcpTraffic, download: Download) -> None:
+        self.traffic = traffic
+        self.download = download
+
+    def buildProtocol(self, _: object) -> Protocol:  # noqa: N802
+        return _Reader(self)
+
+    def clientConnectionFailed(  # noqa: N802 - name given by twisted
+        self, connector: object, reason: Failure
+    ) -> None:
+        self.traffic.finished(self.download, b"", None)
+
+
+class _Reader(Protocol):
+    def __init__(self, caller: _Caller) -> None:
+        self.caller = caller
+        self.data = bytearray()
+        self.port = 0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.port = self.transport.getHost().port
+        self.transport.write(msgspec.json.encode(self.caller.download) + b"\n")
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.data += data
+
+    def connectionLost(  # noqa: N802 - name given by twisted
+        self, reason: Failure = connectionDone
+    ) -> None:
+        caller = self.caller
+        caller.traffic.finished(caller.download, bytes(self.data), self.port)
--- a/src/bramleydyke/demo/traffic.py
+++ b/src/bramleydyke/demo/traffic.py
@@ -8,8 +8,10 @@
 from typing import Protocol as TypingProtocol
 
 from bramleydyke.core.config import ServiceConfig
-from bramleydyke.daemons.environment import Environment
 from bramleydyke.demo.http_traffic import HttpTraffic
+from bramleydyke.demo.system import System
+from bramleydyke.demo.tcp_traffic import TcpTraffic
+from bramleydyke.demo.udp_traffic import UdpTraffic
 from bramleydyke.types import Protocol
 
 RATE_PER_SLOT = 2.0
@@ -20,11 +22,19 @@
 """
 
 
+FLOWS_PER_SLOT = 3
+"""Boards that are held open for each slot of a UDP service."""
+
+DOWNLOADS_PER_SLOT = 0.5
+"""Downloads a second for each slot of a TCP service."""
+
+
 class Traffic(TypingProtocol):
     """Callers of one service.
 
     ``counts`` may have ``requests``, ``answered``, ``refused_not_run``,
-    ``unknown``, ``wrong_answer``, ``flows``, ``broken_flows`` and
+    ``unknown``, ``wrong_answer``, ``wrong_service``, ``downloads``,
+    ``flows``, ``broken_flows`` and
     ``flows_lost_with_balancer``.
     """
 
@@ -41,29 +51,59 @@
         """Tells whether nothing is open."""
 
 
-MakeTraffic = Callable[[Environment, ServiceConfig, random.Random], Traffic]
+MakeTraffic = Callable[[System, ServiceConfig, random.Random], Traffic]
 
 
 def http_traffic(
-    environment: Environment, service: ServiceConfig, random_source: random.Random
+    system: System, service: ServiceConfig, random_source: random.Random
 ) -> Traffic:
     """Returns the callers of an HTTP service."""
-    slots = sum(spec.slots for spec in service.upstreams)
     return HttpTraffic(
-        environment=environment,
+        environment=system.environment,
         service_id=service.service_id,
         address=service.addresses[0],
-        rate=RATE_PER_SLOT * slots,
+        rate=RATE_PER_SLOT * _slots(service),
         random_source=random_source,
     )
 
 
-TRAFFIC: dict[Protocol, MakeTraffic] = {Protocol.HTTP: http_traffic}
-"""How to make the traffic of a protocol.
+def udp_traffic(
+    system: System, service: ServiceConfig, random_source: random.Random
+) -> Traffic:
+    """Returns the callers of a UDP service."""
+    return UdpTraffic(
+        environment=system.environment,
+        service_id=service.service_id,
+        address=service.addresses[0],
+        flows=FLOWS_PER_SLOT * _slots(service),
+        random_source=random_source,
+    )
+
 
-Services of other protocols are in the sheets but get no traffic; an entry
-here gives them some.
-"""
+def tcp_traffic(
+    system: System, service: ServiceConfig, random_source: random.Random
+) -> Traffic:
+    """Returns the callers of a TCP service."""
+    return TcpTraffic(
+        environment=system.environment,
+        service_id=service.service_id,
+        address=service.addresses[0],
+        rate=DOWNLOADS_PER_SLOT * _slots(service),
+        random_source=random_source,
+        lost=system.lost_with_balancer,
+    )
+
+
+def _slots(service: ServiceConfig) -> int:
+    return sum(spec.slots for spec in service.upstreams)
+
+
+TRAFFIC: dict[Protocol, MakeTraffic] = {
+    Protocol.HTTP: http_traffic,
+    Protocol.TCP: tcp_traffic,
+    Protocol.UDP: udp_traffic,
+}
+"""How to make the traffic of a protocol."""
 
 
 def totals(traffic: Iterable[Traffic]) -> Counter[str]:
--- /dev/null
+++ b/src/bramleydyke/demo/udp_traffic.py
@@ -0,0 +1,120 @@
+"""Callers of one UDP service, each with a board open through the run."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.daemons.environment import Environment
+from bramleydyke.standins.board import Subscribe, Tick
+from bramleydyke.types import ServiceId, UpstreamId
+
+SEND_S = 0.4
+"""Mean pause between two packets of a flow."""
+
+SILENT_S = 3.0
+"""Silence of the upstream after which a flow counts as broken."""
+
+
+@dataclass(slots=True, kw_only=True)
+class UdpTraffic:
+    """Flows that are held until the traffic stops.
+
+    A flow is broken if another upstream answers it, or none does for
+    ``SILENT_S``; it counts once.
+
+    Attributes:
+        counts: ``flows``, ``broken_flows`` and ``wrong_answer``.
+        errors: How flows were broken.
+    """
+
+    environment: Environment
+    service_id: ServiceId
+    address: str
+    flows: int
+    random_source: random.Random
+    counts: Counter[str] = field(default_factory=Counter)
+    errors: Counter[str] = field(default_factory=Counter)
+    stopped: bool = False
+    open: list[_Board] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Opens all flows."""
+        for number in range(self.flows):
+            board = _Board(self, f"{self.service_id}/{number}")
+            self.environment.reactor.listenUDP(0, board, interface="127.0.0.1")
+            self.open.append(board)
+            self.counts["flows"] += 1
+
+    def stop(self) -> None:
+        """Judges and closes all flows."""
+        self.stopped = True
+        for board in self.open:
+            board.check_silence()
+            board.transport.stopListening()
+        self.open.clear()
+
+    def ended(self) -> bool:
+        """Tells whether no flow is open."""
+        return self.stopped
+
+
+class _Board(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, traffic: UdpTraffic, name: str) -> None:
+        self.traffic = traffic
+        self.name = name
+        self.number = 0
+        self.upstream: UpstreamId | None = None
+        self.broken = False
+        self.clock = traffic.environment.clock
+        self.heard_at = self.clock.seconds()
+        address = parse_endpoint(traffic.address)
+        assert address is not None, traffic.address
+        self.service = address
+
+    def startProtocol(self) -> None:  # noqa: N802 - name given by twisted
+        self._send()
+
+    def datagramReceived(  # noqa: N802 - name given by twisted
+        self, datagram: bytes, _: Any
+    ) -> None:
+        """Compares a tick with the flow that it should belong to."""
+        tick = msgspec.json.decode(datagram, type=Tick)
+        self.check_silence()
+        self.heard_at = self.clock.seconds()
+        if (tick.service, tick.flow) != (self.traffic.service_id, self.name):
+            wrong = tick.service != self.traffic.service_id
+            self.traffic.counts["wrong_service" if wrong else "wrong_answer"] += 1
+            return
+        if self.upstream is None:
+            self.upstream = tick.upstream
+        elif tick.upstream != self.upstream:
+            self._break("moved")
+
+    def check_silence(self) -> None:
+        """Counts the flow as broken if it has been silent for too long."""
+        if self.clock.seconds() - self.heard_at > SILENT_S:
+            self._break("silent")
+
+    def _send(self) -> None:
+        if self.traffic.stopped:
+            return
+        self.number += 1
+        packet = Subscribe(self.traffic.service_id, self.name, self.number)
+        self.transport.write(msgspec.json.encode(packet), self.service)
+        pause = self.traffic.random_source.uniform(0.5, 1.5) * SEND_S
+        self.clock.callLater(pause, self._send)
+
+    def _break(self, how: str) -> None:
+        self.traffic.errors[how] += 1
+        if not self.broken:
+            self.broken = True
+            self.traffic.counts["broken_flows"] += 1
--- a/tests/adapters/test_processes.py
+++ b/tests/adapters/test_processes.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -15,6 +18,7 @@
 import msgspec
 import pytest
 
+from bramleydyke.constants import DRAIN_NOTICE_S
 from bramleydyke.core.config import (
     PartnerConfig,
     ServiceConfig,
@@ -86,11 +90,11 @@
         return 0
 
 
-def sheet() -> bytes:
+def sheet(protocol: Protocol = Protocol.HTTP) -> bytes:
     service = ServiceConfig(
         service_id=ServiceId("federation/s"),
         partner_id=PartnerId("federation"),
-        protocol=Protocol.HTTP,
+        protocol=protocol,
         addresses=(ServiceAddress(ADDRESS),),
         upstreams=(UpstreamSpec(UpstreamId("u"), AvailabilityZone("fes")),),
     )
@@ -98,13 +102,16 @@
     return msgspec.json.encode(next_config(empty, [service], change_id="test"))
 
 
-def test_programs_serve_drain_and_stop(programs: Programs) -> None:
-    """Guards against a program that does not start, serve or end.
-
-    The platform's own ``/control`` page, which any HTTP client can read, is
-    the upstream here.
-    """
-    store, control, edge = free_endpoint(), free_endpoint(), free_endpoint()
+def start_service(
+    programs: Programs,
+    *,
+    store: str,
+    edge: str,
+    upstream: str,
+    protocol: Protocol = Protocol.HTTP,
+) -> tuple[subprocess.Popen[bytes], subprocess.Popen[bytes]]:
+    """Starts platform, balancer and agent, and writes the sheet."""
+    control, kind = free_endpoint(), protocol.value
     programs.start(
         "platform",
         listen=store,
@@ -119,7 +126,7 @@
         listen=control,
         platform={"url": f"http://{store}", "credential": "node"},
         partner_credentials={"federation": "fed"},
-        edges=[{"address": ADDRESS, "listen": edge}],
+        edges=[{"address": ADDRESS, "listen": edge, "protocol": kind}],
     )
     agent = programs.start(
         "agent",
@@ -129,12 +136,87 @@
         seeds=[{"node_id": "balancer/b1", "endpoint": control}],
         service="federation/s",
         upstream="u",
-        upstream_address=store,
+        upstream_address=upstream,
+        protocol=kind,
         credential="fed",
     )
     url = f"http://{store}/objects/sheets/federation"
     write = {"Authorization": "Bearer fed", "If_Version": "0"}
-    until(lambda: status_of(url, data=sheet(), **write) in (200, 409))
+    until(lambda: status_of(url, data=sheet(protocol), **write) in (200, 409))
+    return balancer, agent
+
+
+def send_slowly(listener: socket.socket, pieces: list[bytes]) -> None:
+    """Serves connections, one after another, with pauses between pieces."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        with connection, contextlib.suppress(OSError):
+            for piece in pieces:
+                connection.sendall(piece)
+                time.sleep(0.1)
+
+
+def first_bytes(edge: str) -> tuple[socket.socket, bytes]:
+    """Connects until an agent serves; returns the first bytes as well."""
+    host, port = edge.split(":")
+    ends_at = time.monotonic() + LIMIT_S
+    while time.monotonic() < ends_at:
+        with contextlib.suppress(OSError):
+            connection = socket.create_connection((host, int(port)), timeout=LIMIT_S)
+            data = connection.recv(1 << 16)
+            if data:
+                return connection, data
+            connection.close()
+        time.sleep(0.1)
+    raise AssertionError("no agent served in time")
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_terminated_program_ends_its_download_first(
+    programs: Programs, role: str
+) -> None:
+    """Guards against a planned stop that cuts a download (H7).
+
+    The download outlasts the notice of a drain, after which a program without
+    open work ends.
+    """
+    pieces = [bytes([number]) * 10_000 for number in range(50)]
+    edge = free_endpoint()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        upstream = "{}:{}".format(*listener.getsockname())
+        threading.Thread(
+            target=send_slowly, args=(listener, pieces), daemon=True
+        ).start()
+        nodes = start_service(
+            programs,
+            store=free_endpoint(),
+            edge=edge,
+            upstream=upstream,
+            protocol=Protocol.TCP,
+        )
+        process = nodes[role == "agent"]
+        connection, data = first_bytes(edge)
+        with connection:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(DRAIN_NOTICE_S + 0.5)
+            assert process.poll() is None
+            while more := connection.recv(1 << 16):
+                data += more
+    assert data == b"".join(pieces)
+    assert process.wait(timeout=LIMIT_S) == 0
+
+
+def test_programs_serve_drain_and_stop(programs: Programs) -> None:
+    """Guards against a program that does not start, serve or end.
+
+    The platform's own ``/control`` page, which any HTTP client can read, is
+    the upstream here.
+    """
+    store, edge = free_endpoint(), free_endpoint()
+    balancer, agent = start_service(programs, store=store, edge=edge, upstream=store)
     page = f"http://{edge}/control"
     read = {"Authorization": "Bearer control", "Request_Timeout": "1"}
     until(lambda: status_of(page, **read) == 200)
