Measure the relay through the adapters of a balancer

Cause: bench/relay.py had a UDP adapter of its own, with a frame of only a version and the message, so its figure was not that of a running node.

Change: the benchmark drives UdpEdge, Runner, Network and the codec.

--- a/src/bramleydyke/bench/flow_setup.py
+++ b/src/bramleydyke/bench/flow_setup.py
@@ -35,11 +35,21 @@
 
 
 def make_balancer(
-    address: ServiceAddress, *, seed: int, protocol: Protocol = Protocol.UDP
+    address: ServiceAddress,
+    *,
+    seed: int,
+    protocol: Protocol = Protocol.UDP,
+    agents: str = "127.0.0.1:1",
 ) -> Balancer:
     """Returns a balancer that serves an address with seven upstreams.
 
     Its packet limit is out of reach, so that the limit is not measured.
+
+    Args:
+        address: The service address.
+        seed: Seed of the balancer.
+        protocol: Protocol of the service.
+        agents: Endpoint that all agents announce.
     """
     balancer = Balancer(
         node_id=balancer_node("b1"),
@@ -65,7 +75,7 @@
             revision=1,
             state=MemberState.RUNNING,
             zone=ZONE,
-            endpoint="127.0.0.1:1",
+            endpoint=agents,
             partner_id=PARTNER,
             service_id=SERVICE,
             upstream_id=name,
--- a/src/bramleydyke/bench/relay.py
+++ b/src/bramleydyke/bench/relay.py
@@ -12,25 +12,30 @@
 import statistics
 import time
 from collections.abc import Callable
+from typing import Any
 
-import msgspec
 from twisted.internet import reactor
 from twisted.internet.protocol import DatagramProtocol
 
+from bramleydyke.adapters.codec import encode, parse_endpoint
+from bramleydyke.adapters.network import Network
+from bramleydyke.adapters.runner import Runner
+from bramleydyke.adapters.udp_edge import UdpEdge
 from bramleydyke.bench.flow_setup import (
     SERVICE,
     UPSTREAMS,
     establish,
     make_balancer,
 )
-from bramleydyke.constants import WIRE_VERSION
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.core.flow_hints import flow_id_of
-from bramleydyke.messages import Envelope, PacketForward, PacketIn, PacketReturn
+from bramleydyke.daemons.environment import environment_of
+from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.messages import Envelope, PacketReturn
 from bramleydyke.types import (
     LOCAL_CALLER,
+    LOCAL_METRICS,
     CallerAddress,
-    NodeId,
     ServiceAddress,
 )
 
@@ -66,56 +71,74 @@
         self.transport.write(datagram, addr)
 
 
-class CallerSide(DatagramProtocol):
-    """The balancer's socket for a service address."""
+class Counted:
+    """Counts the messages that pass to a delivery.
 
-    def __init__(self, balancer: Balancer) -> None:
-        self.balancer = balancer
+    Attributes:
+        handled: Messages so far.
+    """
+
+    def __init__(self, deliver: Callable[..., None]) -> None:
+        self.deliver = deliver
         self.handled = 0
-        self.address = ServiceAddress("")
-        self.agents: AgentSide
 
-    def datagramReceived(self, datagram: bytes, addr: Address) -> None:  # noqa: N802
-        """Takes a caller's datagram and sends what the core returns."""
+    def __call__(self, *message: object) -> None:
+        """Passes a message on."""
         self.handled += 1
-        packet = PacketIn(
-            address=self.address,
-            caller=CallerAddress(f"{addr[0]}:{addr[1]}"),
-            data=datagram,
-        )
-        envelope = Envelope(LOCAL_CALLER, self.balancer.node_id, packet)
-        for sent in self.balancer.receive(envelope, now=time.monotonic()):
-            self.agents.send(sent)
+        self.deliver(*message)
 
 
-class AgentSide(DatagramProtocol):
-    """The balancer's socket towards the agents."""
+class Relay:
+    """A balancer behind the sockets that a node of its kind has.
 
-    def __init__(self, balancer: Balancer, callers: CallerSide) -> None:
-        self.balancer = balancer
-        self.callers = callers
-        self.handled = 0
-        self.endpoints: dict[NodeId, Address] = {}
-        self.nodes: dict[Address, NodeId] = {}
-        self.encoder = msgspec.msgpack.Encoder()
-        self.frame = bytearray((WIRE_VERSION,))
-        self.decode = msgspec.msgpack.Decoder(PacketForward | PacketReturn).decode
+    Attributes:
+        counts: What the adapters refused or failed on.
+        from_callers: Packets of callers.
+        from_agents: Messages of agents.
+    """
+
+    def __init__(self, balancer: Balancer, *, address: str, endpoint: str) -> None:
+        environment = environment_of(reactor)
+        clock = environment.clock
+        self.context = environment.context
+        self.counts: list[str] = []
+        self.runner = Runner(facade=balancer, clock=clock, count=self.count)
+        self.from_callers = Counted(self.runner.from_port)
+        self.from_agents = Counted(self.runner.deliver)
+        self.network = Network(
+            reactor=reactor,
+            clock=clock,
+            context=environment.context,
+            node_id=balancer.node_id,
+            endpoint=endpoint,
+            members=balancer.members,
+            seeds={},
+            deliver=self.from_agents,
+            count=self.count,
+        )
+        self.edge = UdpEdge(
+            reactor=reactor, deliver=self.from_callers, count=self.count
+        )
+        self.edge.listen(ServiceAddress(address), address)
+        self.runner.send = self.network.send
+        self.runner.ports[LOCAL_CALLER] = self.edge.take
+        self.runner.ports[LOCAL_METRICS] = lambda count: self.count(count.name)
 
-    def send(self, envelope: Envelope) -> None:
-        """Sends a message to an agent, with the version in front."""
-        self.encoder.encode_into(envelope.payload, self.frame, 1)
-        self.transport.write(self.frame, self.endpoints[envelope.receiver])
+    def count(self, name: str, _: int = 1) -> None:
+        """Notes that a datagram was not passed on."""
+        self.counts.append(name)
 
-    def datagramReceived(self, datagram: bytes, addr: Address) -> None:  # noqa: N802
-        """Takes an agent's datagram and sends what the core returns."""
-        self.handled += 1
-        if datagram[0] != WIRE_VERSION:
-            return
-        message = self.decode(memoryview(datagram)[1:])
-        envelope = Envelope(self.nodes[addr], self.balancer.node_id, message)
-        for sent in self.balancer.receive(envelope, now=time.monotonic()):
-            host, port = sent.payload.caller.rsplit(":", 1)
-            self.callers.transport.write(sent.payload.data, (host, int(port)))
+    def ports(self) -> list[Any]:
+        """Returns the UDP ports towards callers and agents."""
+        edges = [socket.transport for socket in self.edge.sockets.values()]
+        return [*edges, self.network.datagrams.port]
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        self.runner.stop()
+        self.edge.close()
+        self.network.close(linger_ms=0)
+        self.context.destroy(linger=0)
 
 
 def _socket() -> socket.socket:
@@ -151,18 +174,15 @@
 
     def setup_balancer(self, seed: int) -> None:
         """Starts the balancer and establishes its flows."""
-        port = reactor.listenUDP(0, DatagramProtocol(), interface="127.0.0.1")
-        number = port.getHost().port
-        address = ServiceAddress(f"127.0.0.1:{number}")
-        self.balancer = make_balancer(address, seed=seed)
-        self.caller_side = CallerSide(self.balancer)
-        self.agent_side = AgentSide(self.balancer, self.caller_side)
-        self.caller_side.agents = self.agent_side
-        self.caller_side.address = address
-        port.protocol = self.caller_side
-        self.caller_side.makeConnection(port)
-        self.caller_port = port
-        self.agent_port = _listen(self.agent_side)
+        address, self.endpoint = free_endpoint(), free_endpoint()
+        self.balancer = make_balancer(
+            ServiceAddress(address),
+            seed=seed,
+            agents="{}:{}".format(*self.agent.getsockname()),
+        )
+        self.relay = Relay(self.balancer, address=address, endpoint=self.endpoint)
+        self.service = parse_endpoint(address)
+        address = ServiceAddress(address)
         now = time.monotonic()
         for number in range(OTHER_FLOWS):
             other = CallerAddress(f"10.0.{number >> 8}.{number & 255}:5000")
@@ -173,10 +193,9 @@
     def open_flow(self, caller: socket.socket, address: ServiceAddress) -> bytes:
         """Establishes a caller's flow; returns the frame of an answer."""
         name = CallerAddress("{}:{}".format(*caller.getsockname()))
-        endpoint, now = self.agent.getsockname(), time.monotonic()
-        owner = establish(self.balancer, address, name, owner=UPSTREAMS[0], now=now)
-        self.agent_side.endpoints[owner] = endpoint
-        self.agent_side.nodes[endpoint] = owner
+        owner = establish(
+            self.balancer, address, name, owner=UPSTREAMS[0], now=time.monotonic()
+        )
         answer = PacketReturn(
             flow_id=flow_id_of(address, name),
             service_id=SERVICE,
@@ -184,7 +203,9 @@
             caller=name,
             data=self.payload,
         )
-        return bytes((WIRE_VERSION,)) + msgspec.msgpack.encode(answer)
+        envelope = Envelope(owner, self.balancer.node_id, answer)
+        endpoint = "{}:{}".format(*self.agent.getsockname())
+        return encode(envelope, endpoint=endpoint).unwrap()
 
     def echo_batch(self) -> float:
         """Returns the time in which the echo handles a batch, in seconds."""
@@ -200,20 +221,20 @@
 
         Half of the datagrams come from callers, half from agents.
         """
-        service, agents = self.caller_port.getHost(), self.agent_port.getHost()
+        agents = parse_endpoint(self.endpoint)
         for number in range(BATCH // 2):
             caller = self.callers[number % CALLERS]
-            caller.sendto(self.payload, (service.host, service.port))
+            caller.sendto(self.payload, self.service)
             frame = self.returns[number % CALLERS]
-            self.agent.sendto(frame, (agents.host, agents.port))
-        ports = [self.caller_port, self.agent_port]
-        spent = _read(ports, [self.caller_side, self.agent_side], BATCH)
+            self.agent.sendto(frame, agents)
+        counted = [self.relay.from_callers, self.relay.from_agents]
+        spent = _read(self.relay.ports(), counted, BATCH)
         return _checked(spent, _drain([*self.callers, self.agent]))
 
     def close(self) -> None:
         """Closes all sockets."""
-        for port in (self.echo_port, self.caller_port, self.agent_port):
-            port.stopListening()
+        self.echo_port.stopListening()
+        self.relay.close()
         for item in (*self.callers, self.agent):
             item.close()
 
@@ -222,7 +243,7 @@
     return reactor.listenUDP(0, protocol, interface="127.0.0.1")
 
 
-def _read(ports: list, protocols: list, expected: int) -> float:
+def _read(ports: list[Any], protocols: list[Any], expected: int) -> float:
     """Lets twisted read all datagrams; returns the time it took."""
     goal = sum(item.handled for item in protocols) + expected
     started = time.perf_counter()
