Keep the demo's ports apart; repeat refused downloads

Change: ports of nodes lie below those that the system gives to sockets, and none is given twice. A download whose connection ends before the first byte is asked for again, up to four times as a refused request is, and counts in `refused_connections`; after the last try it counts as broken. A break after the first byte counts as broken at once, as before.

Why balancers answer no_upstream while all upstreams run is open.

--- a/src/bramleydyke/demo/endpoints.py
+++ b/src/bramleydyke/demo/endpoints.py
@@ -2,22 +2,40 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 HOST = "127.0.0.1"
 
+PORTS = range(12_000, 32_000)
+"""Below the usual range of ports that the system gives to callers' sockets.
+
+A port for a node that joins later stays unbound for seconds, in which a
+socket without a port of its own could otherwise get it.
+"""
+
+_given: set[int] = set()
+"""Ports that were returned before."""
+
 
 def free_endpoint() -> str:
-    """Returns an ``ip:port`` whose port is free for both TCP and UDP."""
+    """Returns an ``ip:port`` whose port is free for both TCP and UDP.
+
+    No port is returned twice in one process.
+    """
+    source = random.SystemRandom()
     while True:
+        port = source.choice(PORTS)
+        if port in _given:
+            continue
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
         ):
-            stream.bind((HOST, 0))
-            port = stream.getsockname()[1]
             try:
+                stream.bind((HOST, port))
                 datagram.bind((HOST, port))
             except OSError:
                 continue
-            return f"{HOST}:{port}"
+        _given.add(port)
+        return f"{HOST}:{port}"
--- a/src/bramleydyke/demo/scenario.py
+++ b/src/bramleydyke/demo/scenario.py
@@ -222,6 +222,7 @@
             "wrong_answer": counts["wrong_answer"],
             "ran_twice": ledger.ran_twice(),
             "downloads": counts["downloads"],
+            "refused_connections": counts["refused_connections"],
             "flows": counts["flows"],
             "broken_flows": counts["broken_flows"],
             "flows_lost_with_balancer": counts["flows_lost_with_balancer"],
--- a/src/bramleydyke/demo/tcp_traffic.py
+++ b/src/bramleydyke/demo/tcp_traffic.py
@@ -23,14 +23,21 @@
 """Pause after each piece, so that a download takes about 1.5 s."""
 
 
+MAX_TRIES = 4
+"""Tries of a download that is refused, as of a request that is not run."""
+
+
 @dataclass(slots=True, kw_only=True)
 class TcpTraffic:
     """Poisson arrivals of downloads from one service.
 
+    A balancer refuses a connection by a reset before the first byte. Such a
+    download is tried again; it counts as broken if it is refused each time.
+
     Attributes:
         rate: Downloads a second.
         lost: Tells whether a caller port's balancer was killed.
-        counts: ``flows``, and how those ended that were not complete.
+        counts: ``flows``, how they ended, and ``refused_connections``.
         errors: Breaks by where they came from.
     """
 
@@ -57,15 +64,17 @@
         """Tells whether no download is open."""
         return self.stopped and self.open == 0
 
-    def finished(self, download: Download, data: bytes, port: int | None) -> None:
+    def finished(
+        self, download: Download, data: bytes, port: int | None, *, tries: int
+    ) -> None:
         """Judges a download.
 
         Args:
             download: What was asked for.
             data: What came until the connection ended.
             port: The caller's port, or None if it could not connect.
+            tries: How often it was asked for.
         """
-        self.open -= 1
         whole = document(download)
         if data == whole:
             self.counts["downloads"] += 1
@@ -73,9 +82,15 @@
             self.counts["wrong_answer"] += 1
         elif port is not None and self.lost(port):
             self.counts["flows_lost_with_balancer"] += 1
+        elif not data and tries < MAX_TRIES:
+            self.counts["refused_connections"] += 1
+            pause = self.random_source.uniform(0.1, 0.5)
+            self.environment.clock.callLater(pause, self._try, download, tries + 1)
+            return
         else:
-            self.errors["download broken"] += 1
+            self.errors["download broken" if data else "download refused"] += 1
             self.counts["broken_flows"] += 1
+        self.open -= 1
 
     def _schedule(self) -> None:
         delay = self.random_source.expovariate(self.rate)
@@ -89,17 +104,26 @@
         self.open += 1
         name = str(self.counts["flows"])
         download = Download(self.service_id, name, SIZE_BYTES, PAUSE_S)
+        self._try(download, 1)
+
+    def _try(self, download: Download, tries: int) -> None:
         address = parse_endpoint(self.address)
         assert address is not None, self.address
-        self.environment.reactor.connectTCP(*address, _Caller(self, download))
+        caller = _Caller(self, download, tries)
+        self.environment.reactor.connectTCP(*address, caller)
 
 
 class _Caller(ClientFactory):
     noisy = False
 
-    def __init__(self, traffic: TcpTraffic, download: Download) -> None:
+    def __init__(self, traffic: TcpTraffic, download: Download, tries: int) -> None:
         self.traffic = traffic
         self.download = download
+        self.tries = tries
+
+    def finished(self, data: bytes, port: int | None) -> None:
+        """Hands what came to the traffic."""
+        self.traffic.finished(self.download, data, port, tries=self.tries)
 
     def buildProtocol(self, _: object) -> Protocol:  # noqa: N802
         return _Reader(self)
@@ -107,7 +131,7 @@
     def clientConnectionFailed(  # noqa: N802 - name given by twisted
         self, connector: object, reason: Failure
     ) -> None:
-        self.traffic.finished(self.download, b"", None)
+        self.finished(b"", None)
 
 
 class _Reader(Protocol):
@@ -126,5 +150,4 @@
     def connectionLost(  # noqa: N802 - name given by twisted
         self, reason: Failure = connectionDone
     ) -> None:
-        caller = self.caller
-        caller.traffic.finished(caller.download, bytes(self.data), self.port)
+        self.caller.finished(bytes(self.data), self.port)
--- a/src/bramleydyke/demo/traffic.py
+++ b/src/bramleydyke/demo/traffic.py
@@ -34,7 +34,7 @@
 
     ``counts`` may have ``requests``, ``answered``, ``refused_not_run``,
     ``unknown``, ``wrong_answer``, ``wrong_service``, ``downloads``,
-    ``flows``, ``broken_flows`` and
+    ``refused_connections``, ``flows``, ``broken_flows`` and
     ``flows_lost_with_balancer``.
     """
 
