Measure the roles' cost for each request, flow and heartbeat

Cause: the capacity page needs processor time and message sizes of each role. Change: bench/role_costs.py; slopes and role costs run with make bench. Conclusion: inputs for docs/CAPACITY.md.

--- a/src/bramleydyke/bench/__main__.py
+++ b/src/bramleydyke/bench/__main__.py
@@ -13,7 +13,16 @@
 
 import click
 
-MODULES = ("placement", "changes", "relay", "flow_memory", "reroute", "spread")
+MODULES = (
+    "placement",
+    "changes",
+    "relay",
+    "flow_memory",
+    "reroute",
+    "spread",
+    "slopes",
+    "role_costs",
+)
 """Modules of this package with ``measure(*, seed) -> dict``."""
 
 RESULT_FILE = Path("build/bench.json")
