Send datagrams past the address checks of the UDP port

Cause: twisted's transport.write parses the address of each datagram; under cProfile that took a third of the relay's time. Change: adapters send to addresses that they have parsed already.

--- a/src/bramleydyke/adapters/datagrams.py
+++ b/src/bramleydyke/adapters/datagrams.py
@@ -16,6 +16,32 @@
 """Read size; a larger one than is accepted, so that oversize is counted."""
 
 
+def send_datagram(
+    transport: Any,
+    data: bytes,
+    address: tuple[str, int],
+    *,
+    count: Counter,
+    failed: str,
+) -> None:
+    """Sends a datagram to an address that has been parsed before.
+
+    Goes past ``transport.write``, which parses the address again for each
+    datagram: that took a third of the time of a relayed one.
+
+    Args:
+        transport: A twisted UDP port.
+        data: The datagram; it is lost if the send buffer is full.
+        address: IP number and port.
+        count: Counts a datagram that the system did not take.
+        failed: Name to count it under.
+    """
+    try:
+        transport.socket.sendto(data, address)
+    except OSError:
+        count(failed)
+
+
 class Datagrams(DatagramProtocol):
     """Sends and receives frames by UDP."""
 
@@ -50,10 +76,13 @@
         if address is None or self.transport is None:
             self.count("datagrams.bad_endpoint")
             return
-        try:
-            self.transport.write(frame, address)
-        except OSError:
-            self.count("datagrams.send_failed")
+        send_datagram(
+            self.transport,
+            frame,
+            address,
+            count=self.count,
+            failed="datagrams.send_failed",
+        )
 
     def close(self) -> Any:
         """Closes the port."""
--- a/src/bramleydyke/adapters/udp_edge.py
+++ b/src/bramleydyke/adapters/udp_edge.py
@@ -4,11 +4,10 @@
 
 from typing import Any
 
-from twisted.internet.error import MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 
 from bramleydyke.adapters.codec import parse_endpoint
-from bramleydyke.adapters.datagrams import RECEIVE_BYTES
+from bramleydyke.adapters.datagrams import RECEIVE_BYTES, send_datagram
 from bramleydyke.messages import PacketIn, PacketOut, Payload
 from bramleydyke.ports import Counter, Deliver
 from bramleydyke.types import LOCAL_CALLER, CallerAddress, ServiceAddress
@@ -46,10 +45,13 @@
         if socket is None or caller is None:
             self.count("udp_edge.no_address")
             return
-        try:
-            socket.transport.write(payload.data, caller)
-        except (OSError, MessageLengthError):
-            self.count("udp_edge.send_failed")
+        send_datagram(
+            socket.transport,
+            payload.data,
+            caller,
+            count=self.count,
+            failed="udp_edge.send_failed",
+        )
 
     def close(self) -> None:
         """Closes all sockets."""
