--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -71,19 +71,19 @@
     ),
     Mutation(
         "ignore_hand_over",
-        "request_server.py",
+        "keyed_requests.py",
         "self._hand_over_unknown(query, now=now)",
         "pass",
     ),
     Mutation(
         "skip_record_queries",
-        "request_server.py",
+        "keyed_requests.py",
         "if not self._unasked(record, now=now):",
         "if True:",
     ),
     Mutation(
         "new_home_without_queries",
-        "request_server.py",
+        "keyed_requests.py",
         "if offer.first_attempt and self._known_everywhere(now):",
         "if offer.first_attempt:",
     ),
@@ -101,7 +101,7 @@
     ),
     Mutation(
         "start_after_deadline",
-        "request_server.py",
+        "request_work.py",
         "if now >= record.deadline:",
         "if False:",
     ),
@@ -114,7 +114,7 @@
     ),
     Mutation(
         "forget_earlier_incarnation",
-        "request_server.py",
+        "keyed_requests.py",
         "remembers = query.first_attempt or self._remembers_all(now)",
         "remembers = True",
     ),
@@ -146,8 +146,8 @@
     Mutation(
         "failure_is_not_run",
         "request_server.py",
-        "return self._fail(record, kind, now=now) + self._start(now=now)",
-        "return self._drop(record, ErrorKind.SHED, now=now) + self._start(now=now)",
+        "return self.work.fail(record, kind, now=now) + ",
+        "return self.work.drop(record, ErrorKind.SHED, now=now) + ",
     ),
     Mutation(
         "ignore_deadline",
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -125,7 +125,7 @@
             members=self.members,
             usable=self.usable_peers,
             weights=self.weights,
-            ended=lambda placement, result, now: self.requests.placed(
+            ended=lambda placement, result, now: self.requests.keyed.placed(
                 placement, result, now=now
             ),
             random_source=random_source,
@@ -166,8 +166,8 @@
             Offer: lambda who, msg, now: server.offered(who, msg, now=now),
             CancelRequest: lambda who, msg, now: server.cancel(who, msg, now=now),
             IdleNotice: lambda _, msg, now: server.release(msg, now=now),
-            RecordQuery: lambda who, msg, now: server.queried(who, msg, now=now),
-            RecordReply: lambda _, msg, now: server.replied(msg, now=now),
+            RecordQuery: lambda who, msg, now: server.keyed.queried(who, msg, now=now),
+            RecordReply: lambda _, msg, now: server.keyed.replied(msg, now=now),
             RequestDone: lambda _, msg, now: server.done(msg, now=now),
             RequestShed: lambda _, msg, now: server.shed(msg, now=now),
             RequestFailed: lambda _, msg, now: server.failed(msg, now=now),
--- /dev/null
+++ b/src/bramleydyke/core/keyed_requests.py
@@ -0,0 +1,267 @@
+"""Keyed requests: those whose id the caller gave.
+
+A repetition may reach another balancer. The home agent keeps the record, asks
+the other agents of the service before it runs a possible repetition, and runs
+it or places it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from bramleydyke.constants import (
+    HOME_DELAY_S,
+    OFFER_TIMEOUT_S,
+    QUERY_TIMEOUT_S,
+    RECORD_RETENTION_S,
+)
+from bramleydyke.core.placement import Placement, Placer, placement_numbers
+from bramleydyke.core.records import Asker, Record, RecordState
+from bramleydyke.core.rendezvous import score
+from bramleydyke.core.request_work import RequestWork
+from bramleydyke.errors import ANSWERS, ErrorKind
+from bramleydyke.messages import (
+    Answer,
+    Envelope,
+    Offer,
+    RecordQuery,
+    RecordReply,
+)
+from bramleydyke.types import (
+    NodeId,
+    Outcome,
+    PartnerId,
+    RecordKnowledge,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    agent_node,
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class KeyedRequests:
+    """Keyed requests at one agent.
+
+    Attributes:
+        work: Records, slots and replies of the agent.
+        started_at: Start of this incarnation, in seconds.
+        peers: Other upstreams that may know a request id: declared now or at
+            an earlier generation still in history.
+        all_running: Tells whether all of them are known to run.
+        placer: Places requests when this upstream has no free slot.
+        placements: Request of each placement that this agent makes.
+    """
+
+    partner_id: PartnerId
+    service_id: ServiceId
+    upstream_id: UpstreamId
+    started_at: float
+    work: RequestWork
+    peers: Callable[[float], set[UpstreamId]]
+    all_running: Callable[[], bool]
+    placer: Placer
+    placements: dict[int, RequestId] = field(default_factory=dict)
+    _numbers: Iterator[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._numbers = placement_numbers(self.work.incarnation)
+
+    def start(self, asker: Asker, offer: Offer, *, now: float) -> list[Envelope]:
+        """Runs, places or queries for a keyed request, or refuses it."""
+        if offer.first_attempt and self._known_everywhere(now):
+            record = self.work.add_record(asker, offer, RecordState.QUEUED, now=now)
+            return self._run_or_place(record, now=now)
+        kind = self._refusal_as_home(offer, now=now)
+        if kind is not None:
+            return self.work.refuse(asker, offer.request_id, offer.ask, kind, now=now)
+        record = self.work.add_record(asker, offer, RecordState.QUERYING, now=now)
+        record.query_ends_at = min(now + QUERY_TIMEOUT_S, record.deadline)
+        if not self._unasked(record, now=now):
+            return self._run_or_place(record, now=now)
+        return [self.work.accepted(record, asker)] + self._query(record, now=now)
+
+    def _refusal_as_home(self, offer: Offer, *, now: float) -> ErrorKind | None:
+        """Returns why this agent cannot be the home of a request.
+
+        An agent that has just started may be unknown to a later home of the
+        same request, which then would not ask it. It runs a first attempt
+        only after every other agent has recorded that it has the request.
+        """
+        if offer.first_attempt:
+            return None if self.all_running() else ErrorKind.NO_UPSTREAM
+        return None if self._remembers_all(now) else ErrorKind.RECORD_UNKNOWN
+
+    def _known_everywhere(self, now: float) -> bool:
+        """Tells whether the announcement of this agent has spread."""
+        return now - self.started_at >= HOME_DELAY_S
+
+    def _remembers_all(self, now: float) -> bool:
+        """Tells whether no earlier incarnation can have run a live request."""
+        return now - self.started_at >= RECORD_RETENTION_S
+
+    def _unasked(self, record: Record, *, now: float) -> set[UpstreamId]:
+        return self.peers(now) - record.replies - {self.upstream_id}
+
+    def _query(self, record: Record, *, now: float) -> list[Envelope]:
+        again = min(now + OFFER_TIMEOUT_S, record.query_ends_at)
+        self.work.timers.set(record.request_id, again)
+        query = RecordQuery(
+            request_id=record.request_id,
+            service_id=self.service_id,
+            home=self.upstream_id,
+            first_attempt=record.offer is not None and record.offer.first_attempt,
+        )
+        return [
+            Envelope(self.work.node_id, agent_node(self.service_id, upstream), query)
+            for upstream in sorted(self._unasked(record, now=now))
+        ]
+
+    def query_due(self, record: Record, *, now: float) -> list[Envelope]:
+        """Repeats a query, or gives up on it."""
+        if now < record.query_ends_at:
+            return self._query(record, now=now)
+        first_attempt = record.offer is not None and record.offer.first_attempt
+        kind = ErrorKind.NO_UPSTREAM if first_attempt else ErrorKind.RECORD_UNKNOWN
+        return self.work.drop(record, kind, now=now)
+
+    def queried(
+        self, sender: NodeId, query: RecordQuery, *, now: float
+    ) -> list[Envelope]:
+        """Tells another home what is known of a request, and yields to it.
+
+        After ``NEVER`` this agent does not run the request any more.
+        """
+        if query.service_id != self.service_id:
+            return []
+        record = self.work.records.get(query.request_id)
+        out: list[Envelope] = []
+        answer: bytes | None = None
+        if record is None:
+            remembers = query.first_attempt or self._remembers_all(now)
+            knowledge = RecordKnowledge.NEVER if remembers else RecordKnowledge.UNKNOWN
+            if remembers:
+                self._hand_over_unknown(query, now=now)
+        elif record.state is RecordState.QUERYING and self._yields_to(query):
+            knowledge = RecordKnowledge.NEVER
+            out = self._hand_over(record, query.home, now=now)
+        elif record.state is RecordState.HANDED_OVER:
+            knowledge = RecordKnowledge.NEVER
+            record.home = query.home
+        elif record.state is RecordState.DONE:
+            knowledge, answer = RecordKnowledge.DONE, record.answer
+        elif record.state is RecordState.FAILED:
+            knowledge = RecordKnowledge.UNKNOWN
+        else:
+            knowledge = RecordKnowledge.HELD
+        reply = RecordReply(
+            request_id=query.request_id,
+            upstream_id=self.upstream_id,
+            knowledge=knowledge,
+            payload=answer,
+        )
+        return out + [Envelope(self.work.node_id, sender, reply)]
+
+    def replied(self, message: RecordReply, *, now: float) -> list[Envelope]:
+        """Takes another agent's reply to a record query."""
+        record = self.work.records.get(message.request_id)
+        if record is None or record.state is not RecordState.QUERYING:
+            return []
+        if message.knowledge is RecordKnowledge.HELD:
+            return self._hand_over(record, message.upstream_id, now=now)
+        if message.knowledge is RecordKnowledge.DONE:
+            if message.payload is None:
+                return self.work.fail(record, ErrorKind.ANSWER_EVICTED, now=now)
+            return self.work.finish(record, message.payload, now=now)
+        if message.knowledge is RecordKnowledge.UNKNOWN:
+            return self.work.drop(record, ErrorKind.RECORD_UNKNOWN, now=now)
+        record.replies.add(message.upstream_id)
+        if self._unasked(record, now=now):
+            return []
+        return self._run_or_place(record, now=now)
+
+    def _yields_to(self, query: RecordQuery) -> bool:
+        """Two homes that ask each other agree on one by a fixed order."""
+        key = query.request_id.encode()
+        return (score(key, query.home, 1.0), query.home) > (
+            score(key, self.upstream_id, 1.0),
+            self.upstream_id,
+        )
+
+    def _hand_over(
+        self, record: Record, home: UpstreamId, *, now: float
+    ) -> list[Envelope]:
+        askers = dict(record.askers)
+        record.home = home
+        self.work.timers.cancel(record.request_id)
+        self.work.records.finish(record, RecordState.HANDED_OVER, now=now)
+        return [
+            sent
+            for asker, ask in askers.items()
+            for sent in self.work.refuse_moved(record, asker, ask)
+        ]
+
+    def _hand_over_unknown(self, query: RecordQuery, *, now: float) -> None:
+        record = Record(
+            request_id=query.request_id,
+            state=RecordState.HANDED_OVER,
+            deadline=now,
+            idempotent=False,
+            home=query.home,
+        )
+        self.work.records.add(record)
+        self.work.records.finish(record, RecordState.HANDED_OVER, now=now)
+
+    def _run_or_place(self, record: Record, *, now: float) -> list[Envelope]:
+        """Runs a keyed request here, or at another agent with a free slot.
+
+        By now it is certain that no earlier attempt has run.
+        """
+        record.never_ran = True
+        if self.work.admission.has_free_slot():
+            return self.work.enqueue(record, now=now)
+        return self.place(record, now=now)
+
+    def place(self, record: Record, *, now: float) -> list[Envelope]:
+        """Places a request at another agent."""
+        offer = record.offer
+        assert offer is not None
+        number = next(self._numbers)
+        record.state = RecordState.PLACING
+        self.work.timers.cancel(record.request_id)
+        self.placements[number] = record.request_id
+        placement = Placement(
+            number=number,
+            request_id=record.request_id,
+            partner_id=self.partner_id,
+            service_id=self.service_id,
+            generation=offer.generation,
+            idempotent=offer.idempotent,
+            keyed=False,
+            first_attempt_until=record.deadline,
+            deadline=record.deadline,
+            payload=offer.payload,
+            first_pass_only=True,
+        )
+        accepted = [self.work.accepted(record, asker) for asker in record.askers]
+        return accepted + self.placer.place(placement, now=now)
+
+    def placed(
+        self, placement: Placement, result: Answer | ErrorKind, *, now: float
+    ) -> list[Envelope]:
+        """Takes the end of a placement that this agent made as a home."""
+        request_id = self.placements.pop(placement.number)
+        record = self.work.records.get(request_id)
+        if record is None or record.state is not RecordState.PLACING:
+            return []
+        if isinstance(result, Answer):
+            return self.work.finish(record, result.payload, now=now)
+        if ANSWERS[result].outcome is Outcome.UNKNOWN:
+            return self.work.fail(record, result, now=now)
+        kind = self.work.admission.refusal(
+            backlog_limit=None, ttl=record.deadline - now
+        )
+        if kind is not None:
+            return self.work.drop(record, kind, now=now)
+        return self.work.enqueue(record, now=now)
