--- a/src/bramleydyke/bench/__main__.py
+++ b/src/bramleydyke/bench/__main__.py
@@ -49,10 +49,10 @@
     """Adds a result; values that are objects in both are merged key by key.
 
     Raises:
-        ValueError: Two modules report the same figure.
+        ValueError: Two modules report different values of one figure.
     """
     for key, value in result.items():
-        if key not in into:
+        if key not in into or into[key] == value:
             into[key] = value
         elif isinstance(into[key], dict) and isinstance(value, dict):
             merge(into[key], value)
