--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -53,20 +53,20 @@
     ),
     Mutation(
         "retry_non_idempotent",
-        "placement.py",
+        "placer.py",
         "silent = placement.idempotent and placement.silent >= SILENT_OFFERS",
         "silent = placement.idempotent = placement.silent >= SILENT_OFFERS",
     ),
     Mutation(
         "ignore_may_have_run",
         "placement.py",
-        "if placement.may_have_run:",
+        "if self.may_have_run:",
         "if False:",
     ),
     Mutation(
         "ignore_earlier_attempt",
         "placement.py",
-        "return ErrorKind.RECORD_UNKNOWN if placement.earlier_may_have_run else kind",
+        "return ErrorKind.RECORD_UNKNOWN if self.earlier_may_have_run else kind",
         "return kind",
     ),
     Mutation(
@@ -107,7 +107,7 @@
     ),
     Mutation(
         "accept_from_another_agent",
-        "placement.py",
+        "placer.py",
         "or message.incarnation != placement.incarnation\n"
         "            or sender != self._node(placement)",
         "or message.incarnation != placement.incarnation",
@@ -120,13 +120,13 @@
     ),
     Mutation(
         "accept_older_refusal",
-        "placement.py",
+        "placer.py",
         "or message.ask != placement.ask",
         "or False",
     ),
     Mutation(
         "deliver_to_another",
-        "placement.py",
+        "placer.py",
         "return [] if placement is None else self._end(placement, message, now=now)",
         "return self._end(next(iter(self.pending.values())), message, now=now)"
         " if self.pending else []",
@@ -139,7 +139,7 @@
     ),
     Mutation(
         "silence_is_not_run",
-        "placement.py",
+        "placer.py",
         "return sent + self._end(placement, ErrorKind.AGENT_SILENT, now=now)",
         "return sent + self._end(placement, ErrorKind.DEADLINE, now=now)",
     ),
@@ -151,7 +151,7 @@
     ),
     Mutation(
         "ignore_deadline",
-        "placement.py",
+        "placer.py",
         "self.timers.set(placement.number, min(at, placement.deadline))",
         "self.timers.set(placement.number, at)",
     ),
--- a/src/bramleydyke/core/agent.py
+++ b/src/bramleydyke/core/agent.py
@@ -12,7 +12,8 @@
 from bramleydyke.core.control import Handler
 from bramleydyke.core.flows import FlowServer
 from bramleydyke.core.members import Members
-from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.placement import Placement
+from bramleydyke.core.placer import Placer
 from bramleydyke.core.request_server import RequestServer
 from bramleydyke.core.return_path import ReturnPath
 from bramleydyke.core.stream_server import StreamServer
--- a/src/bramleydyke/core/balancer.py
+++ b/src/bramleydyke/core/balancer.py
@@ -12,7 +12,8 @@
 from bramleydyke.core.health import HealthView
 from bramleydyke.core.limits import PartnerLimits
 from bramleydyke.core.members import Members
-from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.placement import Placement
+from bramleydyke.core.placer import Placer
 from bramleydyke.core.request_edge import RequestEdge
 from bramleydyke.core.stream_edge import StreamEdge
 from bramleydyke.messages import (
--- a/src/bramleydyke/core/candidates.py
+++ b/src/bramleydyke/core/candidates.py
@@ -5,17 +5,14 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from bramleydyke.constants import CHAIN_LENGTH
 from bramleydyke.core.load import LoadView
 from bramleydyke.core.members import Members
+from bramleydyke.core.placement import Placement
 from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.types import ServiceId, UpstreamId, agent_node
 
-if TYPE_CHECKING:
-    from bramleydyke.core.placement import Placement
-
 MAX_LIMITED_OFFERS = 4
 """Offers of a round with a limit; the next is held by the queue bound only."""
 
--- a/src/bramleydyke/core/keyed_requests.py
+++ b/src/bramleydyke/core/keyed_requests.py
@@ -16,7 +16,8 @@
     QUERY_TIMEOUT_S,
     RECORD_RETENTION_S,
 )
-from bramleydyke.core.placement import Placement, Placer, placement_numbers
+from bramleydyke.core.placement import Placement, placement_numbers
+from bramleydyke.core.placer import Placer
 from bramleydyke.core.records import Asker, Record, RecordState
 from bramleydyke.core.rendezvous import score
 from bramleydyke.core.request_work import RequestWork
--- a/src/bramleydyke/core/placement.py
+++ b/src/bramleydyke/core/placement.py
@@ -1,65 +1,29 @@
-"""Finds an agent for a request without ever giving it to two at once.
-
-A request is at one agent at a time. It moves on only after that agent has
-refused it for good; an offer without a reply is repeated at the same agent.
-The balancer and the home agent of a keyed request both place requests.
-"""
+"""One request on its way to an agent."""
 
 from __future__ import annotations
 
 import itertools
-import random
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import InitVar, dataclass, field
-from typing import Protocol
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
 from xxhash import xxh32_intdigest
 
-from bramleydyke.constants import (
-    ACCEPTED_POLL_S,
-    FIRST_REPEAT_S,
-    OFFER_TIMEOUT_S,
-    PROBE_FROM_BACKLOG,
-    PROBE_TIMEOUT_S,
-    SILENT_OFFERS,
-)
 from bramleydyke.core.backlog_probe import Probe
-from bramleydyke.core.candidates import Candidates
-from bramleydyke.core.load import LoadView
-from bramleydyke.core.members import Members
-from bramleydyke.core.retry import RetryBudget, backoff
-from bramleydyke.core.timers import Timers
-from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
+from bramleydyke.errors import ANSWERS, ErrorKind
 from bramleydyke.messages import (
-    Accepted,
-    Answer,
-    BacklogQuery,
-    BacklogReport,
-    Cancelled,
     CancelRequest,
-    Count,
-    Envelope,
     Offer,
-    Payload,
-    Refusal,
 )
 from bramleydyke.types import (
-    LOCAL_METRICS,
     Generation,
     Incarnation,
-    MemberState,
-    NodeId,
     Outcome,
     PartnerId,
     RequestId,
     ServiceId,
     UpstreamId,
-    agent_node,
 )
 
-MAX_MOVES = 4
-"""Times that a keyed request follows a pointer to another home in a round."""
-
 
 def placement_numbers(incarnation: Incarnation) -> Iterator[int]:
     """Returns the numbers of a process's placements.
@@ -125,456 +89,38 @@
     excluded: set[UpstreamId] = field(default_factory=set)
     last_kind: ErrorKind = ErrorKind.NO_UPSTREAM
 
-
-Ended = Callable[[Placement, Answer | ErrorKind, float], list[Envelope]]
-"""Told how and when a placement ended: the answer, or why there is none."""
-
-
-class Silent(Protocol):
-    """Told that an agent did not reply to repeated offers."""
-
-    def __call__(self, node_id: NodeId, *, now: float) -> None:
-        """Notes the agent."""
-
-
-@dataclass(slots=True, kw_only=True)
-class Placer:
-    """All requests that one process is placing.
-
-    Attributes:
-        node_id: This process.
-        members: Agents it knows.
-        candidates: Chooses agents.
-        load: What it knows of the agents' backlogs.
-        ended: Called at the end of each placement.
-        silent: Told of agents that did not reply to repeated offers.
-        pending: Placements that have not ended, by number.
-        probes: Whether the other candidates are asked for their backlog.
-        first_repeat_s: Wait before the first repeat of an offer.
-    """
-
-    node_id: NodeId
-    members: Members
-    usable: InitVar[Callable[[ServiceId], Iterable[UpstreamId]]]
-    weights: InitVar[Callable[[Placement, float], dict[UpstreamId, float]]]
-    ended: Ended
-    random_source: random.Random
-    silent: Silent | None = None
-    candidates: Candidates = field(init=False)
-    load: LoadView = field(init=False)
-    budgets: dict[ServiceId, RetryBudget] = field(default_factory=dict)
-    pending: dict[int, Placement] = field(default_factory=dict)
-    probes: bool = True
-    first_repeat_s: float = FIRST_REPEAT_S
-    timers: Timers[int] = field(default_factory=Timers)
-
-    def __post_init__(
-        self,
-        usable: Callable[[ServiceId], Iterable[UpstreamId]],
-        weights: Callable[[Placement, float], dict[UpstreamId, float]],
-    ) -> None:
-        self.candidates = Candidates(
-            members=self.members,
-            usable=usable,
-            weights=weights,
-            random_source=self.random_source,
+    def offer(self, *, now: float) -> Offer:
+        """Returns the offer of the present ask."""
+        return Offer(
+            request_id=self.request_id,
+            placement=self.number,
+            ask=self.ask,
+            partner_id=self.partner_id,
+            service_id=self.service_id,
+            generation=self.generation,
+            incarnation=self.incarnation,
+            idempotent=self.idempotent,
+            keyed=self.keyed,
+            first_attempt=now < self.first_attempt_until,
+            ttl=self.deadline - now,
+            backlog_limit=self.backlog_limit,
+            payload=self.payload,
+            waited=now - self.placed_at,
         )
-        self.load = self.candidates.load
-
-    def place(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Starts a placement."""
-        self.pending[placement.number] = placement
-        placement.placed_at = now
-        self.budget(placement.service_id).request(now=now)
-        return self._begin_round(placement, now=now)
-
-    def budget(self, service_id: ServiceId) -> RetryBudget:
-        """Returns the retry budget of a service."""
-        return self.budgets.setdefault(service_id, RetryBudget())
-
-    def next_wakeup(self) -> float | None:
-        """Returns when ``wake`` has something to do."""
-        return self.timers.next()
-
-    def wake(self, *, now: float) -> list[Envelope]:
-        """Repeats silent offers and ends overdue placements."""
-        due = [self.pending[number] for number in self.timers.pop_due(now)]
-        return [out for item in due for out in self._due(item, now=now)]
-
-    def cancel(self, number: int, *, now: float) -> list[Envelope]:
-        """Cancels a placement whose asker went away."""
-        placement = self.pending.get(number)
-        if placement is None:
-            return []
-        if placement.upstream_id is None:
-            return self._end(placement, ErrorKind.CANCELLED, now=now)
-        placement.cancelling = True
-        return self._send_current(placement, now=now)
-
-    def accepted(
-        self, sender: NodeId, message: Accepted, *, now: float
-    ) -> list[Envelope]:
-        """Notes that the agent which was asked last has the request."""
-        placement = self._current(message.placement, message.request_id)
-        if (
-            placement is None
-            or message.incarnation != placement.incarnation
-            or sender != self._node(placement)
-        ):
-            return []
-        self._note_load(placement, message.backlog, now=now)
-        if not placement.accepted and placement.upstream_id is not None:
-            placement.accepted = True
-            self.load.confirmed(agent_node(placement.service_id, placement.upstream_id))
-        placement.silent = 0
-        self._wake_at(placement, now + ACCEPTED_POLL_S)
-        return []
-
-    def _wake_at(self, placement: Placement, at: float) -> None:
-        self.timers.set(placement.number, min(at, placement.deadline))
-
-    def answered(
-        self, sender: NodeId, message: Answer, *, now: float
-    ) -> list[Envelope]:
-        """Ends a placement with its answer."""
-        self.load.report(sender, message.backlog, now=now)
-        placement = self._current(message.placement, message.request_id)
-        return [] if placement is None else self._end(placement, message, now=now)
-
-    def refused(
-        self, sender: NodeId, message: Refusal, *, now: float
-    ) -> list[Envelope]:
-        """Goes on after a refusal of the newest offer; ignores older ones."""
-        placement = self._current(message.placement, message.request_id)
-        if (
-            placement is None
-            or message.ask != placement.ask
-            or sender != self._node(placement)
-        ):
-            return []
-        self._note_load(placement, message.backlog, now=now)
-        self.members.observe(sender, message.incarnation)
-        if message.never_ran:
-            placement.earlier_may_have_run = False
-        counted = self._count(message.kind, "refused")
-        return counted + self._after_refusal(placement, message, now=now)
-
-    def cancelled(self, message: Cancelled, *, now: float) -> list[Envelope]:
-        """Ends a cancelled placement."""
-        placement = self._current(message.placement, message.request_id)
-        if placement is None or not placement.cancelling:
-            return []
-        kind = ErrorKind.CANCELLED if message.not_run else ErrorKind.ABANDONED
-        return self._end(placement, kind, now=now)
-
-    def _current(self, number: int, request_id: RequestId) -> Placement | None:
-        placement = self.pending.get(number)
-        if placement is None or placement.request_id != request_id:
-            return None
-        return placement
 
-    def _node(self, placement: Placement) -> NodeId | None:
-        if placement.upstream_id is None:
-            return None
-        return agent_node(placement.service_id, placement.upstream_id)
-
-    def _begin_round(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Offers the request to the best candidate; probes the others.
-
-        If that candidate is probably busy the probe goes out at the same
-        time, which saves a round trip; else only after a refusal.
-        """
-        placement.candidates = self.candidates.choose(placement, now=now)
-        placement.backlogs = {}
-        placement.limited_offers = 0
-        placement.probed = placement.keyed or not self.probes
-        if placement.probed or not self._likely_busy(placement, now=now):
-            return self._next(placement, now=now)
-        first = placement.candidates.pop(0)
-        queries = self._probe(placement, now=now)
-        return self._offer(placement, first, 1.0, now=now) + queries
-
-    def _likely_busy(self, placement: Placement, *, now: float) -> bool:
-        """Tells whether a probe will probably be needed."""
-        if len(placement.candidates) < 2:
-            return False
-        best = placement.candidates[0]
-        estimate = self.candidates.estimate(placement, best, now=now)
-        return estimate >= PROBE_FROM_BACKLOG
-
-    def _probe(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Asks the candidates that have no offer for their backlog."""
-        placement.probed = True
-        placement.ask += 1
-        placement.probe = Probe(
-            ask=placement.ask,
-            until=now + PROBE_TIMEOUT_S,
-            awaited=set(placement.candidates),
+    def cancel_request(self) -> CancelRequest:
+        """Returns the request to cancel, with the present ask."""
+        return CancelRequest(
+            request_id=self.request_id,
+            placement=self.number,
+            ask=self.ask,
+            incarnation=self.incarnation,
         )
-        query = BacklogQuery(
-            placement=placement.number,
-            ask=placement.ask,
-            service_id=placement.service_id,
-        )
-        return [
-            Envelope(self.node_id, agent_node(placement.service_id, up), query)
-            for up in placement.candidates
-        ]
-
-    def reported(
-        self, sender: NodeId, report: BacklogReport, *, now: float
-    ) -> list[Envelope]:
-        """Takes a backlog report; goes on if it was the last one needed."""
-        self.load.report(sender, report.backlog, now=now)
-        placement = self.pending.get(report.placement)
-        if placement is None or placement.probe is None:
-            return []
-        slots = self.candidates.slots(placement.service_id, report.upstream_id)
-        unconfirmed = self.load.unconfirmed[sender] / slots
-        placement.probe.take(report, unconfirmed=unconfirmed)
-        if placement.upstream_id is not None or placement.probe.awaited:
-            return []
-        return self._next(placement, now=now)
-
-    def _end_probe(self, placement: Placement) -> None:
-        """Takes over the reports that came.
-
-        Candidates that did not report are left out, unless none did.
-        """
-        probe = placement.probe
-        if probe is None:
-            return
-        placement.probe = None
-        placement.excluded |= probe.draining
-        placement.backlogs |= probe.backlogs
-        if probe.backlogs:
-            placement.candidates = []
-
-    def _next(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Offers the request to the next candidate, or ends the round."""
-        if placement.probe is not None and placement.probe.pending(now=now):
-            self._wake_at(placement, placement.probe.until)
-            return []
-        self._end_probe(placement)
-        if placement.candidates and placement.backlogs and not placement.probed:
-            self._wake_at(placement, now + PROBE_TIMEOUT_S)
-            return self._probe(placement, now=now)
-        if placement.candidates:
-            upstream_id = placement.candidates.pop(0)
-            limit = None if placement.keyed else 1.0
-            return self._offer(placement, upstream_id, limit, now=now)
-        choice = self.candidates.best_known(placement, now=now)
-        if choice is not None:
-            del placement.backlogs[choice[0]]
-            placement.limited_offers += 1
-            return self._offer(placement, *choice, now=now)
-        if placement.first_pass_only:
-            return self._end(placement, placement.last_kind, now=now)
-        return self._next_round(placement, now=now)
-
-    def _next_round(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Waits before the next round of offers, if the budget allows one."""
-        delay = backoff(placement.rounds, random_source=self.random_source)
-        if now + delay >= placement.deadline:
-            return self._end(placement, placement.last_kind, now=now)
-        if not self.budget(placement.service_id).allow(now=now):
-            ended = self._end(placement, placement.last_kind, now=now)
-            return self._count(ErrorKind.RETRY_BUDGET, "refused") + ended
-        placement.rounds += 1
-        placement.upstream_id = None
-        placement.moves = 0
-        self._wake_at(placement, now + delay)
-        return self._count(placement.last_kind, "retried")
-
-    def _offer(
-        self,
-        placement: Placement,
-        upstream_id: UpstreamId,
-        backlog_limit: float | None,
-        *,
-        now: float,
-    ) -> list[Envelope]:
-        node_id = agent_node(placement.service_id, upstream_id)
-        placement.upstream_id = upstream_id
-        placement.incarnation = self.members.incarnation(node_id)
-        placement.backlog_limit = backlog_limit
-        placement.silent = 0
-        placement.repeated = self.first_repeat_s <= 0
-        placement.accepted = False
-        self.load.started(node_id)
-        return self._send_current(placement, now=now)
-
-    def _send_current(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Sends the offer, or its cancellation, to the agent that has it."""
-        placement.ask += 1
-        wait = ACCEPTED_POLL_S if placement.accepted else OFFER_TIMEOUT_S
-        wait *= 2 ** min(placement.silent, 3)
-        if not placement.accepted and not placement.repeated:
-            wait = self.first_repeat_s
-        self._wake_at(placement, now + wait)
-        message: Payload
-        if placement.cancelling:
-            message = CancelRequest(
-                request_id=placement.request_id,
-                placement=placement.number,
-                ask=placement.ask,
-                incarnation=placement.incarnation,
-            )
-        else:
-            message = Offer(
-                request_id=placement.request_id,
-                placement=placement.number,
-                ask=placement.ask,
-                partner_id=placement.partner_id,
-                service_id=placement.service_id,
-                generation=placement.generation,
-                incarnation=placement.incarnation,
-                idempotent=placement.idempotent,
-                keyed=placement.keyed,
-                first_attempt=now < placement.first_attempt_until,
-                ttl=placement.deadline - now,
-                backlog_limit=placement.backlog_limit,
-                payload=placement.payload,
-                waited=now - placement.placed_at,
-            )
-        receiver = self._node(placement)
-        assert receiver is not None
-        return [Envelope(self.node_id, receiver, message)]
-
-    def _due(self, placement: Placement, *, now: float) -> list[Envelope]:
-        if now >= placement.deadline:
-            return self._overdue(placement, now=now)
-        if placement.probe is not None and placement.upstream_id is None:
-            return self._next(placement, now=now)
-        if placement.upstream_id is None:
-            return self._begin_round(placement, now=now)
-        if not placement.repeated and not placement.accepted:
-            placement.repeated = True
-            self.load.silent.add(
-                agent_node(placement.service_id, placement.upstream_id)
-            )
-            return self._send_current(placement, now=now)
-        placement.silent += 1
-        self._note_silence(placement, now=now)
-        if self._lost(placement):
-            return self._after_loss(placement, ErrorKind.AGENT_SILENT, now=now)
-        counted = self._count(ErrorKind.AGENT_SILENT, "retried")
-        return counted + self._send_current(placement, now=now)
 
-    def _overdue(self, placement: Placement, *, now: float) -> list[Envelope]:
-        """Ends a placement at its deadline.
-
-        While an agent has an offer that it has not refused, the request may
-        have run.
-        """
-        if placement.upstream_id is None:
-            return self._end(placement, ErrorKind.DEADLINE, now=now)
-        node_id = self._node(placement)
-        assert node_id is not None
-        cancel = CancelRequest(
-            request_id=placement.request_id,
-            placement=placement.number,
-            ask=placement.ask + 1,
-            incarnation=placement.incarnation,
-        )
-        sent = [Envelope(self.node_id, node_id, cancel)]
-        return sent + self._end(placement, ErrorKind.AGENT_SILENT, now=now)
-
-    def _note_silence(self, placement: Placement, *, now: float) -> None:
-        node_id = self._node(placement)
-        if self.silent and node_id and placement.silent == SILENT_OFFERS:
-            self.silent(node_id, now=now)
-
-    def _lost(self, placement: Placement) -> bool:
-        """Tells whether waiting for the agent any longer is useless."""
-        node_id = self._node(placement)
-        assert node_id is not None
-        member = self.members.by_node.get(node_id)
-        gone = member is None or member.state is MemberState.STOPPED
-        restarted = member is not None and member.incarnation != placement.incarnation
-        silent = placement.idempotent and placement.silent >= SILENT_OFFERS
-        return gone or restarted or silent
-
-    def _after_loss(
-        self, placement: Placement, kind: ErrorKind, *, now: float
-    ) -> list[Envelope]:
-        """Goes on with an idempotent request whose agent may have run it."""
-        if not placement.idempotent or placement.cancelling:
-            return self._end(placement, kind, now=now)
-        if not self.budget(placement.service_id).allow(now=now):
-            return self._end(placement, kind, now=now)
-        self._leave(placement)
-        placement.may_have_run = True
-        placement.last_kind = kind
-        counted = self._count(kind, "retried")
-        if not placement.candidates and not placement.backlogs:
-            return counted + self._begin_round(placement, now=now)
-        return counted + self._next(placement, now=now)
-
-    def _after_refusal(
-        self, placement: Placement, message: Refusal, *, now: float
-    ) -> list[Envelope]:
-        upstream_id = placement.upstream_id
-        assert upstream_id is not None
-        if ANSWERS[message.kind].outcome is Outcome.UNKNOWN:
-            return self._after_loss(placement, message.kind, now=now)
-        if placement.cancelling:
-            return self._end(placement, ErrorKind.CANCELLED, now=now)
-        self._leave(placement)
-        placement.last_kind = message.kind
-        if message.kind is ErrorKind.MOVED and placement.keyed:
-            placement.moves += 1
-            if placement.moves <= MAX_MOVES and message.home is not None:
-                placement.candidates.insert(0, message.home)
-        elif message.kind in (ErrorKind.DRAINING, ErrorKind.NO_UPSTREAM):
-            placement.excluded.add(upstream_id)
-        elif message.kind is ErrorKind.BUSY:
-            placement.backlogs[upstream_id] = message.backlog
-        elif message.kind is ErrorKind.RELEASED and message.free is not None:
-            placement.backlogs = {upstream_id: message.backlog}
-            slots = self.candidates.slots(placement.service_id, message.free)
-            limit = message.backlog + 1 / slots
-            return self._offer(placement, message.free, limit, now=now)
-        elif message.kind is ErrorKind.DEADLINE:
-            return self._end(placement, message.kind, now=now)
-        return self._next(placement, now=now)
-
-    def _note_load(self, placement: Placement, backlog: float, *, now: float) -> None:
-        node_id = self._node(placement)
-        if node_id is not None:
-            self.load.report(node_id, backlog, now=now)
-
-    def _leave(self, placement: Placement) -> None:
-        node_id = self._node(placement)
-        if node_id is not None:
-            self.load.ended(node_id)
-            if not placement.accepted:
-                self.load.confirmed(node_id)
-        placement.upstream_id = None
-
-    def _end(
-        self, placement: Placement, result: Answer | ErrorKind, *, now: float
-    ) -> list[Envelope]:
-        """Ends a placement.
-
-        An earlier agent or attempt that may have run the request makes every
-        later refusal an unknown outcome.
-        """
-        self._leave(placement)
-        self.timers.cancel(placement.number)
-        del self.pending[placement.number]
-        if isinstance(result, ErrorKind):
-            result = self._certain(placement, result)
-        return self.ended(placement, result, now)
-
-    def _certain(self, placement: Placement, kind: ErrorKind) -> ErrorKind:
+    def certain(self, kind: ErrorKind) -> ErrorKind:
         """Returns a kind that does not say "not run" without certainty."""
         if ANSWERS[kind].outcome is Outcome.UNKNOWN:
             return kind
-        if placement.may_have_run:
+        if self.may_have_run:
             return ErrorKind.AGENT_SILENT
-        return ErrorKind.RECORD_UNKNOWN if placement.earlier_may_have_run else kind
-
-    def _count(self, kind: ErrorKind, action: str) -> list[Envelope]:
-        count = Count(name=counter_name(kind, action=action))
-        return [Envelope(self.node_id, LOCAL_METRICS, count)]
+        return ErrorKind.RECORD_UNKNOWN if self.earlier_may_have_run else kind
--- a/src/bramleydyke/core/request_edge.py
+++ b/src/bramleydyke/core/request_edge.py
@@ -12,7 +12,8 @@
 )
 from bramleydyke.core.config import ConfigStore, ServiceConfig
 from bramleydyke.core.limits import PartnerLimits
-from bramleydyke.core.placement import Placement, Placer, placement_numbers
+from bramleydyke.core.placement import Placement, placement_numbers
+from bramleydyke.core.placer import Placer
 from bramleydyke.core.stalls import StallWatch
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.messages import (
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -11,7 +11,7 @@
 )
 from bramleydyke.core.admission import Admission
 from bramleydyke.core.keyed_requests import KeyedRequests
-from bramleydyke.core.placement import Placer
+from bramleydyke.core.placer import Placer
 from bramleydyke.core.records import Asker, Record, RecordState
 from bramleydyke.core.request_work import RequestWork
 from bramleydyke.core.stalls import StallWatch
--- a/tests/unit/test_placement_policy.py
+++ b/tests/unit/test_placement_policy.py
@@ -8,7 +8,8 @@
 from bramleydyke.core.admission import Admission
 from bramleydyke.core.agent import Agent
 from bramleydyke.core.members import Members
-from bramleydyke.core.placement import Placement, Placer
+from bramleydyke.core.placement import Placement
+from bramleydyke.core.placer import Placer
 from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import (
     Announcement,
