--- a/src/bramleydyke/bench/variants.py
+++ b/src/bramleydyke/bench/variants.py
@@ -61,13 +61,13 @@
     """Queues by arrival at the agent, whatever was waited before."""
     if isinstance(node, Agent):
         slots = node.announcement.slots
-        node.requests.admission = FifoAdmission(slots=slots)
+        node.requests.work.admission = FifoAdmission(slots=slots)
 
 
 def short_queue(node: Node) -> None:
     """Queues at most eight requests for each slot."""
     if isinstance(node, Agent):
-        node.requests.admission.queue_per_slot = 8
+        node.requests.work.admission.queue_per_slot = 8
 
 
 def chain_of_seven(node: Node) -> None:
--- a/src/bramleydyke/core/request_server.py
+++ b/src/bramleydyke/core/request_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 
 from bramleydyke.constants import (
     HEARTBEAT_S,
@@ -74,7 +74,7 @@
     upstream_id: UpstreamId
     incarnation: Incarnation
     started_at: float
-    admission: Admission
+    admission: InitVar[Admission]
     peers: Callable[[float], set[UpstreamId]]
     all_running: Callable[[], bool]
     usable_peers: Callable[[ServiceId], list[UpstreamId]]
@@ -87,11 +87,11 @@
     work: RequestWork = field(init=False)
     keyed: KeyedRequests = field(init=False)
 
-    def __post_init__(self) -> None:
+    def __post_init__(self, admission: Admission) -> None:
         self.work = RequestWork(
             node_id=self.node_id,
             incarnation=self.incarnation,
-            admission=self.admission,
+            admission=admission,
         )
         self.keyed = KeyedRequests(
             partner_id=self.partner_id,
@@ -149,7 +149,9 @@
             return self.work.refuse(asker, offer.request_id, offer.ask, kind, now=now)
         if offer.keyed:
             return self.keyed.start(asker, offer, now=now)
-        kind = self.admission.refusal(backlog_limit=offer.backlog_limit, ttl=offer.ttl)
+        kind = self.work.admission.refusal(
+            backlog_limit=offer.backlog_limit, ttl=offer.ttl
+        )
         if kind is not None:
             return self.work.refuse(asker, offer.request_id, offer.ask, kind, now=now)
         record = self.work.add_record(asker, offer, RecordState.QUEUED, now=now)
@@ -165,7 +167,7 @@
             placement=query.placement,
             ask=query.ask,
             upstream_id=self.upstream_id,
-            backlog=self.admission.backlog(),
+            backlog=self.work.admission.backlog(),
             draining=self.draining,
         )
         return [Envelope(self.node_id, sender, report)]
@@ -214,7 +216,7 @@
         record = self.work.running(message.request_id)
         if record is None:
             return []
-        self.admission.finish(message.request_id, now=now)
+        self.work.admission.finish(message.request_id, now=now)
         finished = self.work.finish(record, message.payload, now=now)
         return finished + self.work.start_queued(now=now) + self._notify_idle()
 
@@ -223,7 +225,7 @@
         record = self.work.running(message.request_id)
         if record is None:
             return []
-        self.admission.drop(message.request_id)
+        self.work.admission.drop(message.request_id)
         kind = ErrorKind.UPSTREAM_FAILED
         return self.work.fail(record, kind, now=now) + self.work.start_queued(now=now)
 
@@ -232,7 +234,7 @@
         record = self.work.running(message.request_id)
         if record is None:
             return []
-        self.admission.drop(message.request_id)
+        self.work.admission.drop(message.request_id)
         dropped = self.work.drop(record, ErrorKind.SHED, now=now)
         return dropped + self.work.start_queued(now=now)
 
@@ -250,19 +252,19 @@
             return []
         queued = [
             self.work.records.records[request_id]
-            for request_id in self.admission.queued()
+            for request_id in self.work.admission.queued()
         ]
         return [out for record in queued for out in self._move(record, now=now)]
 
     def _move(self, record: Record, *, now: float) -> list[Envelope]:
-        self.admission.drop(record.request_id)
+        self.work.admission.drop(record.request_id)
         if not self._movable(record.request_id):
             return self.keyed.place(record, now=now)
         return self.work.drop(record, ErrorKind.DRAINING, now=now)
 
     def _notify_idle(self) -> list[Envelope]:
         """Asks some other agents for a queued request if a slot is free."""
-        if self.draining or not self.admission.has_free_slot():
+        if self.draining or not self.work.admission.has_free_slot():
             return []
         peers = self.usable_peers(self.service_id)
         count = min(self.idle_fanout, len(peers))
@@ -280,11 +282,11 @@
         """
         if notice.service_id != self.service_id:
             return []
-        request_id = self.admission.oldest_queued(self._movable)
+        request_id = self.work.admission.oldest_queued(self._movable)
         if request_id is None:
             return []
         record = self.work.records.records[request_id]
-        self.admission.drop(request_id)
+        self.work.admission.drop(request_id)
         self.work.timers.cancel(request_id)
         self.work.records.remove(request_id)
         kind = ErrorKind.RELEASED
@@ -339,11 +341,11 @@
         if record.askers or record.state not in _ACTIVE:
             return False, []
         if record.state in (RecordState.QUEUED, RecordState.QUERYING):
-            self.admission.drop(record.request_id)
+            self.work.admission.drop(record.request_id)
             return True, self.work.drop(record, ErrorKind.CANCELLED, now=now)
         if keyed or record.state is RecordState.PLACING:
             return False, []
-        self.admission.drop(record.request_id)
+        self.work.admission.drop(record.request_id)
         out = self.work.fail(record, ErrorKind.ABANDONED, now=now)
         out.append(self.work.to_upstream(StopRequest(request_id=record.request_id)))
         return False, out + self.work.start_queued(now=now)
@@ -355,10 +357,10 @@
         if record.state is RecordState.QUERYING:
             return self.keyed.query_due(record, now=now)
         if record.state is RecordState.QUEUED:
-            self.admission.drop(request_id)
+            self.work.admission.drop(request_id)
             return self.work.drop(record, ErrorKind.DEADLINE, now=now)
         if record.state is RecordState.RUNNING:
-            self.admission.drop(request_id)
+            self.work.admission.drop(request_id)
             stop = self.work.to_upstream(StopRequest(request_id=request_id))
             return [stop] + self.work.fail(record, ErrorKind.ABANDONED, now=now)
         return []
--- a/tests/adapters/test_processes.py
+++ b/tests/adapters/test_processes.py
@@ -13,6 +13,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import msgspec
@@ -209,6 +210,62 @@
     assert process.wait(timeout=LIMIT_S) == 0
 
 
+ANSWER = b"x" * 2_000_000
+"""More than the send buffers of a connection hold."""
+
+
+def answer_late(listener: socket.socket, started: threading.Event) -> None:
+    """Serves HTTP requests; ``/slow`` takes longer than a drain's notice."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        with connection, contextlib.suppress(OSError):
+            slow = b"/slow" in connection.recv(1 << 16)
+            if slow:
+                started.set()
+                time.sleep(DRAIN_NOTICE_S + 1.0)
+            body = ANSWER if slow else b"ready"
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+            connection.sendall(head.encode() + b"Connection: close\r\n\r\n" + body)
+
+
+def read_answer(edge: str, pause_s: float) -> bytes:
+    """Reads an answer whose reader is slow, as over a thin line."""
+    with urllib.request.urlopen(f"http://{edge}/slow", timeout=LIMIT_S) as response:
+        data = response.read(10_000)
+        time.sleep(pause_s)
+        return data + response.read()
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_terminated_program_ends_its_request_first(
+    programs: Programs, role: str
+) -> None:
+    """Guards against a planned stop that cuts a request or its answer (H7)."""
+    edge, started = free_endpoint(), threading.Event()
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        ThreadPoolExecutor(2) as threads,
+    ):
+        threads.submit(answer_late, listener, started)
+        upstream = "{}:{}".format(*listener.getsockname())
+        nodes = start_service(
+            programs, store=free_endpoint(), edge=edge, upstream=upstream
+        )
+        process = nodes[role == "agent"]
+        try:
+            until(lambda: status_of(f"http://{edge}/", Request_Timeout="1") == 200)
+            answer = threads.submit(read_answer, edge, 1.0)
+            assert started.wait(LIMIT_S)
+            process.send_signal(signal.SIGTERM)
+            assert answer.result(LIMIT_S) == ANSWER
+            assert process.wait(timeout=LIMIT_S) == 0
+        finally:
+            listener.shutdown(socket.SHUT_RDWR)
+
+
 def test_programs_serve_drain_and_stop(programs: Programs) -> None:
     """Guards against a program that does not start, serve or end.
 
--- a/tests/unit/test_placement_policy.py
+++ b/tests/unit/test_placement_policy.py
@@ -235,7 +235,7 @@
     released = [(RequestId("r2"), ErrorKind.RELEASED)]
     assert refusals(give(agent, notice)) == released
     assert refusals(give(agent, offer_to(2))) == released
-    assert agent.requests.admission.queued() == []
+    assert agent.requests.work.admission.queued() == []
 
 
 def test_running_request_is_not_released() -> None:
@@ -254,7 +254,7 @@
     drain = Envelope(LOCAL_PLATFORM, agent.node_id, SetDrain(draining=True))
     sent = [item.payload for item in agent.receive(drain, now=1.0)]
     assert [request for request, _ in refusals(sent)] == ["r2", "r3"]
-    assert list(agent.requests.admission.running) == ["r1"]
+    assert list(agent.requests.work.admission.running) == ["r1"]
 
 
 def test_queue_serves_the_longest_wait_first() -> None:
