--- a/src/bramleydyke/bench/cores.py
+++ b/src/bramleydyke/bench/cores.py
@@ -167,6 +167,7 @@
     Attributes:
         delay: Returns the delay between two nodes, in seconds.
         loss: Share of messages between nodes that get lost.
+        doubled: Share of messages between nodes that arrive twice.
         cut: Tells whether a message cannot pass, as in a partition.
         storeless: Nodes whose calls to the store get no reply.
         paused: Nodes that do not run; messages to them wait.
@@ -175,6 +176,7 @@
     random_source: random.Random
     delay: Callable[[NodeId, NodeId], float]
     loss: float = 0.0
+    doubled: float = 0.0
     cut: Callable[[NodeId, NodeId], bool] = lambda sender, receiver: False
     now: float = 0.0
     store: Store = field(default_factory=Store)
@@ -203,6 +205,8 @@
         """Ends a core without notice."""
         del self.nodes[node_id]
         self._wakes.pop(node_id, None)
+        self._held.pop(node_id, None)
+        self.paused.discard(node_id)
 
     def resume(self, node_id: NodeId) -> None:
         """Lets a paused core run again; waiting messages arrive at once."""
@@ -282,9 +286,11 @@
         lost = self.random_source.uniform(0.0, 1.0) < self.loss
         if lost or receiver not in self.nodes or self.cut(sender, receiver):
             return
-        self.usage[receiver].received_bytes += len(data)
-        at = self.now + self.delay(sender, receiver)
-        self._push(at, receiver, envelope, data)
+        twice = self.doubled > 0 and self.random_source.random() < self.doubled
+        for _ in range(2 if twice else 1):
+            self.usage[receiver].received_bytes += len(data)
+            at = self.now + self.delay(sender, receiver)
+            self._push(at, receiver, envelope, data)
 
     def _call_store(self, envelope: Envelope) -> None:
         if envelope.sender in self.storeless:
--- a/src/bramleydyke/core/watcher.py
+++ b/src/bramleydyke/core/watcher.py
@@ -128,7 +128,7 @@
         if self.holding(now):
             times += [watch.next_at for watch in self.watches]
             times.append(self.resend_at if self.orders.wishes else None)
-        return min(at for at in times if at is not None)
+        return min((at for at in times if at is not None), default=None)
 
     def _look(self, *, now: float) -> list[Envelope]:
         """Wakes the leases; reads drain objects whose last read failed."""
--- a/tests/unit/test_lease.py
+++ b/tests/unit/test_lease.py
@@ -17,7 +17,7 @@
 from bramleydyke.core.lease import LOOK_JITTER_S, Lease, LeaseRecord
 from bramleydyke.core.platform_calls import PlatformCalls
 from bramleydyke.core.watch import Watch
-from bramleydyke.messages import Envelope, PlatformReply, PlatformWrite
+from bramleydyke.messages import ConfigDigest, Envelope, PlatformReply, PlatformWrite
 from bramleydyke.types import (
     AvailabilityZone,
     Incarnation,
@@ -214,3 +214,13 @@
     assert seen == [] and watch.wake(now=60.0) == []
     active = True
     assert len(_calls(watch.wake(now=61.0))) == 1
+
+
+def test_message_before_the_first_wake_is_taken() -> None:
+    """Guards against a process that fails on a message while it starts."""
+    net = Deployment(seed=5, balancers=1, agents=0)
+    balancer = net.balancers[0]
+    digest = ConfigDigest(generations={})
+    peer = balancer_node("b1")
+    balancer.receive(Envelope(peer, balancer.node_id, digest), now=0.0)
+    assert balancer.next_wakeup() == 0.0
