--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # the default one is created here.
 VENV ?= .venv
 PY := PYTHONPATH=src $(VENV)/bin/python
-SOURCES := src tests features scripts
+SOURCES := src tests features scripts deploy
 
 .PHONY: demo test lint format unit behave bench soak
 
--- a/src/bramleydyke/adapters/codec.py
+++ b/src/bramleydyke/adapters/codec.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import functools
-import ipaddress
 import math
 import typing
 from typing import Any
@@ -16,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from bramleydyke.constants import MAX_FRAME_BYTES, WIRE_VERSION
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import Envelope, Message, Payload
 from bramleydyke.types import NodeId
@@ -210,19 +210,3 @@
 def goes_by_datagram(payload: Payload) -> bool:
     """Tells whether a message prefers UDP to a link."""
     return type(payload).__name__ in DATAGRAM_MESSAGES
-
-
-@functools.lru_cache(maxsize=16_384)
-def parse_endpoint(endpoint: str) -> tuple[str, int] | None:
-    """Returns host and port of ``ip:port``, or None if it is neither.
-
-    Host names are refused: looking one up would block the process.
-    """
-    host, _, port = endpoint.rpartition(":")
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
-        return None
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return None
-    return host, int(port)
--- a/src/bramleydyke/adapters/datagrams.py
+++ b/src/bramleydyke/adapters/datagrams.py
@@ -7,8 +7,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.constants import MAX_DATAGRAM_BYTES
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.ports import Counter
 
--- a/src/bramleydyke/adapters/links.py
+++ b/src/bramleydyke/adapters/links.py
@@ -18,8 +18,8 @@
 from twisted.internet.interfaces import IReadDescriptor
 from zope.interface import implementer
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.constants import MAX_FRAME_BYTES
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.ports import Clock, Counter
 
--- a/src/bramleydyke/adapters/metrics.py
+++ b/src/bramleydyke/adapters/metrics.py
@@ -7,7 +7,7 @@
 
 from statsd import StatsClient
 
-from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import Count, Payload
 
 
--- a/src/bramleydyke/adapters/tcp_upstream.py
+++ b/src/bramleydyke/adapters/tcp_upstream.py
@@ -8,8 +8,8 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 
 from bramleydyke.adapters.byte_connection import ByteConnection, take_for
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.constants import STREAM_OPEN_S
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import (
     ConnectionAbort,
--- a/src/bramleydyke/adapters/udp_edge.py
+++ b/src/bramleydyke/adapters/udp_edge.py
@@ -6,8 +6,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.datagrams import RECEIVE_BYTES, send_datagram
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import PacketIn, PacketOut, Payload
 from bramleydyke.ports import Counter, Deliver
 from bramleydyke.types import LOCAL_CALLER, CallerAddress, ServiceAddress
--- a/src/bramleydyke/adapters/udp_upstream.py
+++ b/src/bramleydyke/adapters/udp_upstream.py
@@ -7,9 +7,9 @@
 from twisted.internet.error import CannotListenError, MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.datagrams import RECEIVE_BYTES
 from bramleydyke.constants import AGENT_FLOWS
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import FlowReset, PacketAnswered, PacketDeliver, Payload
 from bramleydyke.ports import Counter, Deliver
 from bramleydyke.types import LOCAL_UPSTREAM, FlowId
--- a/src/bramleydyke/bench/relay.py
+++ b/src/bramleydyke/bench/relay.py
@@ -17,7 +17,7 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleydyke.adapters.codec import encode, parse_endpoint
+from bramleydyke.adapters.codec import encode
 from bramleydyke.adapters.network import Network
 from bramleydyke.adapters.runner import Runner
 from bramleydyke.adapters.udp_edge import UdpEdge
@@ -31,6 +31,7 @@
 from bramleydyke.core.flow_hints import flow_id_of
 from bramleydyke.daemons.environment import environment_of
 from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import Envelope, PacketReturn
 from bramleydyke.types import (
     LOCAL_CALLER,
--- a/src/bramleydyke/daemons/balancer.py
+++ b/src/bramleydyke/daemons/balancer.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.http_edge import CallerPort, EdgeConnections
 from bramleydyke.adapters.tcp_edge import TcpEdge
 from bramleydyke.adapters.udp_edge import UdpEdge
 from bramleydyke.core.balancer import Balancer
 from bramleydyke.daemons.environment import Environment, new_incarnation
 from bramleydyke.daemons.node import Node, random_source
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import AnswerCaller, PacketOut, Payload, RefuseCaller
 from bramleydyke.settings import (
     BalancerSettings,
--- /dev/null
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -0,0 +1,157 @@
+"""Program of an agent in the direct mode."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from bramleydyke.daemons.direct import DirectNode
+from bramleydyke.daemons.direct_balancer import caller_ip
+from bramleydyke.direct.agent import Agent
+from bramleydyke.direct.constants import AGENT_LINGER_S
+from bramleydyke.direct.entry_writer import EntryWriter
+from bramleydyke.direct.ports import PacketCodec
+from bramleydyke.direct.registry import BalancerEntry, UpstreamEntry, entry_of
+from bramleydyke.direct.settings import DirectSettings
+from bramleydyke.direct.store import CallStatus, Kind, Listing, Store, StoredObject
+from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
+from bramleydyke.direct.upstream_view import Report, UpstreamView
+from bramleydyke.endpoints import host_of, parse_endpoint, port_of
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+BALANCER_LIST_S = 5.0
+"""Interval at which an agent reads the list of balancers.
+
+Balancers that send packets or answer are known without it.
+"""
+
+STORED_STATES = frozenset({UpstreamState.READY, UpstreamState.DRAINING})
+"""States that the store keeps; the others pass or are seen by balancers."""
+
+
+class DirectAgent(DirectNode):
+    """An agent with its sockets."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: DirectSettings,
+        path: Path,
+        *,
+        codec: PacketCodec,
+        new_store: Any,
+    ) -> None:
+        super().__init__(reactor, settings, path)
+        me = NodeIp(settings.ip)
+        upstream = parse_endpoint(settings.upstream_endpoint or "")
+        assert upstream is not None
+        self.upstream = upstream
+        self.caller_port = port_of(settings.packet_endpoint)
+        self.store: Store = new_store(reactor, self.clock, self.count)
+        self.role: Agent = Agent(
+            node=me,
+            zone=AvailabilityZone(settings.availability_zone),
+            service=ServiceId(settings.service or ""),
+            codec=codec,
+            view=UpstreamView(report_interval_s=settings.report_interval_s),
+            started_at=self.clock.seconds(),
+            send=self.send,
+            send_to_caller=self._to_caller,
+            deliver=self._deliver,
+            count=self.count,
+            record=self.log.record,
+        )
+        self.entry = EntryWriter(
+            kind=Kind.UPSTREAMS,
+            name=me,
+            store=self.store,
+            clock=self.clock,
+            random_source=self.random_source,
+            count=self.count,
+            recalled=self._recalled,
+        )
+        self.outbound = self.datagrams(
+            settings.outbound_endpoint or "", self._from_upstream
+        )
+
+    def start(self) -> None:
+        """Starts to serve."""
+        for seed in self.settings.seed_endpoints:
+            self.role.add_balancer(NodeIp(host_of(seed)))
+        self.entry.start()
+        self._list_balancers()
+        super().start()
+
+    def report(self, report: Report) -> bool:
+        """Takes a report of the upstream; returns True to acknowledge it."""
+        taken = self.role.report(report, now=self.clock.seconds())
+        self._store_entry()
+        return taken
+
+    def left(self, upstream: UpstreamId) -> None:
+        """Takes an upstream's word that it is gone."""
+        self.role.left(upstream, now=self.clock.seconds())
+        self._store_entry()
+
+    def terminate(self) -> None:
+        """Takes no new flow, lets short ones end and stops."""
+        if self.role.pausing:
+            return
+        self.role.pause(now=self.clock.seconds())
+        self.stop(after_s=AGENT_LINGER_S, reason="SIGTERM")
+
+    def _store_entry(self) -> None:
+        """Writes the upstream's entry if its state or lifetime changed."""
+        announcement = self.role.announcement(now=self.clock.seconds())
+        if announcement is None:
+            return
+        if announcement.state is UpstreamState.GONE:
+            self.entry.want(None)
+            return
+        if announcement.state not in STORED_STATES:
+            return
+        wanted = self.entry.wanted
+        if isinstance(wanted, UpstreamEntry):
+            same = (wanted.upstream, wanted.lifetime, wanted.state)
+            new = (announcement.upstream, announcement.lifetime, announcement.state)
+            if same == new:
+                return
+        self.entry.want(entry_of(announcement))
+
+    def _recalled(self, stored: StoredObject) -> None:
+        """Takes the entry that an earlier process of this VM left."""
+        if isinstance(stored.value, UpstreamEntry):
+            self.log.record(
+                "entry_recalled",
+                upstream=stored.value.upstream,
+                state=stored.value.state.value,
+                lifetime=stored.value.lifetime,
+                sequence=stored.value.sequence,
+            )
+            self.role.view.recall(stored.value.lifetime, stored.value.sequence)
+
+    def _list_balancers(self) -> None:
+        self.store.list(Kind.BALANCERS, self._on_balancers)
+        self.clock.callLater(BALANCER_LIST_S, self._list_balancers)
+
+    def _on_balancers(self, status: CallStatus, listing: Listing | None) -> None:
+        if status is not CallStatus.OK or listing is None:
+            self.count(f"store.balancers.{status.value}")
+            return
+        entries = [
+            stored.value
+            for stored in listing.objects
+            if isinstance(stored.value, BalancerEntry)
+        ]
+        new = [self.role.add_balancer(entry.node) for entry in entries]
+        if any(new):
+            self.role.announce(now=self.clock.seconds())
+
+    def _from_upstream(self, datagram: bytes, sender: str) -> None:
+        self.role.upstream_packet(datagram, now=self.clock.seconds())
+
+    def _deliver(self, datagram: bytes) -> None:
+        self.outbound.send(datagram, *self.upstream)
+
+    def _to_caller(self, packet: Packet, datagram: bytes) -> None:
+        self.outbound.send(datagram, caller_ip(packet), self.caller_port)
--- /dev/null
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -0,0 +1,183 @@
+"""Program of a balancer in the direct mode."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from bramleydyke.adapters.http_calls import HttpCalls
+from bramleydyke.adapters.http_server import HttpReply
+from bramleydyke.daemons.direct import DirectNode
+from bramleydyke.direct.balancer import Balancer
+from bramleydyke.direct.constants import BALANCER_LINGER_S, STORE_TIMEOUT_S
+from bramleydyke.direct.directory import Directory
+from bramleydyke.direct.entry_writer import EntryWriter
+from bramleydyke.direct.messages import Announcement
+from bramleydyke.direct.ports import PacketCodec
+from bramleydyke.direct.registry import BalancerEntry, Registry
+from bramleydyke.direct.routes import Routes, RouteSet
+from bramleydyke.direct.settings import DirectSettings
+from bramleydyke.direct.spread import Spread
+from bramleydyke.direct.store import Kind, Store
+from bramleydyke.direct.types import ConfigVersion, NodeIp, Packet
+from bramleydyke.endpoints import host_of, port_of
+from bramleydyke.types import AvailabilityZone
+
+END_MARGIN_S = 0.5
+"""Part of the stop time that is left for the end of the process."""
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """What a balancer hands to another that is behind."""
+
+    routes: RouteSet | None
+    upstreams: list[Announcement]
+
+
+_SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
+
+
+class DirectBalancer(DirectNode):
+    """A balancer with its sockets.
+
+    Attributes:
+        fetching: Balancers whose snapshot has been asked for.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: DirectSettings,
+        path: Path,
+        *,
+        codec: PacketCodec,
+        new_store: Any,
+    ) -> None:
+        super().__init__(reactor, settings, path)
+        me = NodeIp(settings.ip)
+        zone = AvailabilityZone(settings.availability_zone)
+        self.caller_port = port_of(settings.packet_endpoint)
+        self.peer_calls = HttpCalls(
+            reactor=reactor, clock=self.clock, content_type="application/msgpack"
+        )
+        self.fetching: set[NodeIp] = set()
+        store: Store = new_store(reactor, self.clock, self.count)
+        routes = Routes()
+        directory = Directory(zone)
+        spread = Spread(
+            node=me,
+            routes=routes,
+            send=self.send,
+            fetch=self.fetch,
+            random_source=self.random_source,
+        )
+        self.role: Balancer = Balancer(
+            node=me,
+            codec=codec,
+            routes=routes,
+            directory=directory,
+            spread=spread,
+            send=self.send,
+            reset=self._to_caller,
+            count=self.count,
+            record=self.log.record,
+        )
+        self.registry = Registry(
+            store=store,
+            clock=self.clock,
+            random_source=self.random_source,
+            routes=routes,
+            directory=directory,
+            spread=spread,
+            count=self.count,
+            record=self.log.record,
+        )
+        self.entry = EntryWriter(
+            kind=Kind.BALANCERS,
+            name=me,
+            store=store,
+            clock=self.clock,
+            random_source=self.random_source,
+            count=self.count,
+            wanted=BalancerEntry(me, zone),
+        )
+        self.packets = self.datagrams(settings.packet_endpoint, self._packet)
+
+    def start(self) -> None:
+        """Starts to serve."""
+        settings = self.settings
+        now = self.clock.seconds()
+        for seed in settings.seed_endpoints:
+            self.role.spread.add_peer(NodeIp(host_of(seed)), now=now)
+        self.listen(f"{settings.ip}:{settings.mesh_port}", self._snapshot_page)
+        self.registry.start()
+        self.entry.start()
+        super().start()
+        self.role.spread.changed(now=now)
+
+    def ready(self) -> bool:
+        """Tells whether this balancer can serve callers."""
+        return self.role.ready(now=self.clock.seconds())
+
+    def terminate(self) -> None:
+        """Leaves the rotation, then stops."""
+        if self.role.leaving:
+            return
+        self.role.leaving = True
+        self.role.spread.leave()
+        limit = self.settings.stop_within_s - END_MARGIN_S
+        self.stop(after_s=min(BALANCER_LINGER_S, limit), reason="SIGTERM")
+
+    def fetch(self, node: NodeIp, version: ConfigVersion) -> None:
+        """Asks another balancer for what this one may lack."""
+        if node in self.fetching:
+            return
+        self.fetching.add(node)
+
+        def done(status: int | None, body: bytes) -> None:
+            self.fetching.discard(node)
+            if status != 200:
+                self.count("peers.fetch_failed")
+                return
+            self._take_snapshot(node, body)
+
+        self.peer_calls.call(
+            "GET",
+            f"http://{node}:{self.settings.mesh_port}/snapshot",
+            timeout_s=STORE_TIMEOUT_S,
+            done=done,
+        )
+
+    def _take_snapshot(self, node: NodeIp, body: bytes) -> None:
+        try:
+            snapshot = _SNAPSHOT.decode(body)
+        except msgspec.MsgspecError:
+            self.count("peers.bad_snapshot")
+            return
+        if snapshot.routes is not None:
+            self.registry.apply_routes(snapshot.routes, source=node)
+        now = self.clock.seconds()
+        for announcement in snapshot.upstreams:
+            self.role.directory.apply(announcement, now=now, heard=False)
+        self.arm()
+
+    def _snapshot_page(self, method: str, path: str, body: bytes) -> HttpReply:
+        upstreams = [
+            entry.announcement for entry in self.role.directory.entries.values()
+        ]
+        snapshot = Snapshot(self.role.routes.current, upstreams)
+        content = msgspec.msgpack.encode(snapshot)
+        return HttpReply(200, content, "application/msgpack")
+
+    def _packet(self, datagram: bytes, sender: str) -> None:
+        self.role.packet_in(datagram, now=self.clock.seconds())
+
+    def _to_caller(self, packet: Packet, datagram: bytes) -> None:
+        self.packets.send(datagram, caller_ip(packet), self.caller_port)
+
+
+def caller_ip(packet: Packet) -> str:
+    """Returns the IP number of the caller of a packet's flow."""
+    return ".".join(map(str, packet.flow[:4]))
--- a/src/bramleydyke/demo/tcp_traffic.py
+++ b/src/bramleydyke/demo/tcp_traffic.py
@@ -11,8 +11,8 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.daemons.environment import Environment
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.standins.documents import Download, document
 from bramleydyke.types import ServiceId
 
--- a/src/bramleydyke/demo/udp_traffic.py
+++ b/src/bramleydyke/demo/udp_traffic.py
@@ -10,8 +10,8 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.daemons.environment import Environment
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.standins.board import Subscribe, Tick
 from bramleydyke.types import ServiceId, UpstreamId
 
--- /dev/null
+++ b/src/bramleydyke/direct/agent.py
@@ -0,0 +1,381 @@
+"""The agent's decisions in the direct mode: what its upstream gets.
+
+The agent is on the path of every packet to its upstream, so it alone decides
+whether a new flow may open there, whatever the balancers believe.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.timers import Timers
+from bramleydyke.direct.constants import (
+    ANNOUNCE_FANOUT,
+    ANNOUNCE_INTERVAL_S,
+    FLOW_IDLE_S,
+    UPSTREAM_SILENT_S,
+)
+from bramleydyke.direct.holders import acknowledges
+from bramleydyke.direct.messages import (
+    Announcement,
+    Forward,
+    Missing,
+    Placed,
+    Refused,
+)
+from bramleydyke.direct.ports import (
+    Count,
+    Deliver,
+    PacketCodec,
+    Record,
+    Send,
+    SendToCaller,
+)
+from bramleydyke.direct.types import (
+    FlowTuple,
+    NodeIp,
+    Packet,
+    UpstreamState,
+)
+from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
+from bramleydyke.direct.upstream_view import Report, UpstreamView
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+REFUSALS = {
+    None: ErrorKind.STALE_GENERATION,
+    UpstreamState.DRAINING: ErrorKind.DRAINING,
+    UpstreamState.SILENT: ErrorKind.UPSTREAM_FAILED,
+    UpstreamState.PAUSED: ErrorKind.DRAINING,
+    UpstreamState.GONE: ErrorKind.DRAINING,
+}
+"""Why a new flow is refused in each state that takes none."""
+
+
+class Probe(NamedTuple):
+    """A packet of an unknown flow, handed over to learn of the flow."""
+
+    balancer: NodeIp
+    seek: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class Agent:
+    """One agent: packets and messages in, packets and messages out.
+
+    Attributes:
+        started_at: Start of this process, in seconds.
+        probes: Packets whose flows the upstream may hold from earlier.
+        balancers: Balancers that may be told of the upstream.
+        pausing: True once this process is about to stop.
+    """
+
+    node: NodeIp
+    zone: AvailabilityZone
+    service: ServiceId
+    codec: PacketCodec
+    view: UpstreamView
+    started_at: float
+    send: Send
+    send_to_caller: SendToCaller
+    deliver: Deliver
+    count: Count
+    record: Record
+    flows: UpstreamFlows = field(default_factory=UpstreamFlows)
+    probes: dict[FlowTuple, Probe] = field(default_factory=dict)
+    unanswered: Timers[FlowTuple] = field(default_factory=Timers)
+    balancers: dict[NodeIp, None] = field(default_factory=dict)
+    pausing: bool = False
+    revision: int = 0
+    announced: UpstreamState | None = None
+    announce_at: float = 0.0
+
+    # Packets of callers, through a balancer.
+
+    def message_in(self, sender: NodeIp, message: object, *, now: float) -> None:
+        """Takes a message from a balancer."""
+        if not isinstance(message, Forward):
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+            return
+        self.add_balancer(sender)
+        packet = self.codec.from_caller(message.datagram)
+        if packet is None:
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+        elif packet.opening:
+            self._opening(sender, message, packet, now=now)
+        else:
+            self._established(sender, message, packet, now=now)
+
+    def add_balancer(self, node: NodeIp) -> bool:
+        """Adds a balancer to announce to; returns True if it is new."""
+        if node in self.balancers:
+            return False
+        self.balancers[node] = None
+        return True
+
+    def _opening(
+        self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
+    ) -> None:
+        """Hands over an opening packet, or refuses the flow."""
+        key = packet.flow
+        flow = self.flows.touch(key, now=now)
+        if flow is not None and flow.lifetime == self.view.lifetime:
+            if packet.copies or flow.first_sequence is None:
+                flow.balancer = sender
+                self._hand_over(packet)
+                self._tell_placed(key, flow)
+                return
+        kind = self._refusal(message.service, now=now)
+        if kind is not None:
+            self.count(counter_name(kind))
+            self.send(sender, Refused(key, kind, float(self.flows.load)))
+            return
+        flow = UpstreamFlow(sender, self.view.lifetime, now, asked_at=now)
+        self.flows.add(key, flow)
+        self.unanswered.set(key, now + UPSTREAM_SILENT_S)
+        self._hand_over(packet)
+
+    def _refusal(self, service: ServiceId, *, now: float) -> ErrorKind | None:
+        """Returns why a new flow may not open at the upstream, if so."""
+        if service != self.service:
+            return ErrorKind.WRONG_SERVICE
+        if self.pausing:
+            return ErrorKind.DRAINING
+        return REFUSALS.get(self.view.state(now=now))
+
+    def _established(
+        self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
+    ) -> None:
+        """Hands over a packet of an open flow that the upstream holds."""
+        key = packet.flow
+        flow = self.flows.touch(key, now=now)
+        if flow is None:
+            self._unknown(sender, message, packet, now=now)
+            return
+        lifetime = self.view.lifetime
+        if 0 < flow.lifetime < lifetime:
+            self._reset(packet, why="upstream restarted")
+            return
+        first = flow.first_sequence
+        if not flow.open:
+            if first is None or not acknowledges(packet.acknowledged, first):
+                self._not_here(sender, message, packet)
+                return
+            flow.open = True
+        flow.balancer = sender
+        if packet.finish:
+            self.flows.finish(flow, caller=True)
+        if packet.reset:
+            self.flows.end(flow)
+        if message.seek:
+            self.send(sender, Placed(key, flow.lifetime, None, float(self.flows.load)))
+        self._hand_over(packet)
+
+    def _unknown(
+        self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
+    ) -> None:
+        """Handles a packet of a flow that this process has not seen.
+
+        After a restart the upstream may hold it from before. It gives back
+        packets of flows that it does not hold.
+        """
+        if 0 < message.lifetime < self.view.lifetime:
+            self._reset(packet, why="upstream restarted")
+            return
+        known = self.view.fresh or now - self.started_at > FLOW_IDLE_S
+        foreign = message.service != self.service
+        if known or foreign or packet.flow in self.flows.absent:
+            self._not_here(sender, message, packet)
+            return
+        self.probes[packet.flow] = Probe(sender, message.seek)
+        self._hand_over(packet)
+
+    def _not_here(self, sender: NodeIp, message: Forward, packet: Packet) -> None:
+        if not message.seek:
+            self.count(counter_name(ErrorKind.MOVED))
+            self.send(sender, Missing(packet.flow, packet.datagram))
+
+    def _hand_over(self, packet: Packet) -> None:
+        self.deliver(self.codec.deliverable(packet))
+
+    def _reset(self, packet: Packet, *, why: str) -> None:
+        """Resets a flow that is surely dead, so that the caller tries anew."""
+        if packet.reset:
+            return
+        self.count(counter_name(ErrorKind.FORGOTTEN, action="reset"))
+        self.record("flow_reset", flow=packet.flow, why=why)
+        self.send_to_caller(packet, self.codec.reset_for(packet))
+
+    # Packets of the upstream.
+
+    def upstream_packet(self, datagram: bytes, *, now: float) -> None:
+        """Takes a datagram that the upstream sent or gave back."""
+        packet = self.codec.from_upstream(datagram)
+        if packet is None:
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+        elif packet.bounced:
+            self._bounced(packet)
+        else:
+            self._answer(packet, now=now)
+
+    def _bounced(self, packet: Packet) -> None:
+        """Handles a packet that the upstream gave back."""
+        key = packet.flow
+        flow = self.flows.flows.get(key)
+        if packet.opening:
+            if flow is None or flow.balancer is None or flow.first_sequence is not None:
+                self.count("dropped.bounced")
+                return
+            self.flows.remove(key)
+            self.unanswered.cancel(key)
+            self.count(counter_name(ErrorKind.QUEUE_FULL))
+            refused = Refused(key, ErrorKind.QUEUE_FULL, float(self.flows.load))
+            self.send(flow.balancer, refused)
+            return
+        probe = self.probes.pop(key, None)
+        if flow is not None and flow.open:
+            self.flows.remove(key)
+            self._reset(packet, why="upstream lost the flow")
+            return
+        self.flows.mark_absent(key)
+        if probe is not None and not probe.seek:
+            self.send(probe.balancer, Missing(key, packet.datagram))
+
+    def _answer(self, packet: Packet, *, now: float) -> None:
+        """Sends an upstream's packet to its caller."""
+        key = packet.flow
+        flow = self.flows.touch(key, now=now)
+        if flow is None:
+            flow = self._learn(key, packet, now=now)
+        if packet.accepting:
+            self.unanswered.cancel(key)
+            flow.asked_at = None
+            flow.first_sequence = packet.sequence
+            self._tell_placed(key, flow)
+        if packet.finish:
+            self.flows.finish(flow, caller=False)
+        if packet.reset:
+            self.flows.end(flow)
+        self.send_to_caller(packet, packet.datagram)
+
+    def _learn(self, key: FlowTuple, packet: Packet, *, now: float) -> UpstreamFlow:
+        """Notes a flow that the upstream holds from before this process."""
+        probe = self.probes.pop(key, None)
+        flow = UpstreamFlow(None, self.view.lifetime, now, open=not packet.accepting)
+        self.flows.add(key, flow)
+        if probe is not None:
+            flow.balancer = probe.balancer
+            if probe.seek:
+                self._tell_placed(key, flow)
+        return flow
+
+    def _tell_placed(self, key: FlowTuple, flow: UpstreamFlow) -> None:
+        if flow.balancer is None or (flow.first_sequence is None and not flow.open):
+            return
+        first = None if flow.open else flow.first_sequence
+        placed = Placed(key, flow.lifetime, first, float(self.flows.load))
+        self.send(flow.balancer, placed)
+
+    # The upstream's reports.
+
+    def report(self, report: Report, *, now: float) -> bool:
+        """Takes a report; returns False if it is not from this upstream."""
+        if report.service != self.service:
+            self.count(counter_name(ErrorKind.WRONG_SERVICE))
+            return False
+        if self.view.take(report, now=now):
+            self.revision = 0
+            self.announce(now=now)
+        else:
+            self.count("late.reports")
+        return True
+
+    def left(self, upstream: UpstreamId, *, now: float) -> None:
+        """Takes an upstream's word that it is gone."""
+        if self.view.left(upstream):
+            self.announce(now=now)
+
+    # Announcements.
+
+    def announcement(self, *, now: float) -> Announcement | None:
+        """Returns the upstream's state, or None before its first report."""
+        state = self.view.state(now=now)
+        report = self.view.report
+        if state is None or report is None:
+            return None
+        if self.pausing and state is not UpstreamState.GONE:
+            state = UpstreamState.PAUSED
+        return Announcement(
+            node=self.node,
+            zone=self.zone,
+            service=self.service,
+            upstream=report.upstream,
+            lifetime=report.lifetime,
+            sequence=report.sequence,
+            revision=self.revision,
+            state=state,
+            load=float(self.flows.load),
+        )
+
+    def announce(self, *, now: float) -> None:
+        """Tells balancers of the upstream's state."""
+        self.announce_at = now + ANNOUNCE_INTERVAL_S
+        self.revision += 1
+        announcement = self.announcement(now=now)
+        if announcement is None:
+            return
+        if announcement.state is not self.announced:
+            self.announced = announcement.state
+            self.record(
+                "upstream_state",
+                upstream=announcement.upstream,
+                state=announcement.state.value,
+                lifetime=announcement.lifetime,
+                sequence=announcement.sequence,
+            )
+        for balancer in self._announced_to():
+            self.send(balancer, announcement)
+
+    def _announced_to(self) -> list[NodeIp]:
+        """Returns the balancers to tell, a bounded number of them."""
+        if len(self.balancers) <= ANNOUNCE_FANOUT:
+            return list(self.balancers)
+        weights = dict.fromkeys(map(UpstreamId, self.balancers), 1.0)
+        order = owner_order(self.node.encode(), weights)
+        return [NodeIp(node) for node in order[:ANNOUNCE_FANOUT]]
+
+    def pause(self, *, now: float) -> None:
+        """Takes no new flow any more: this process is about to stop."""
+        self.pausing = True
+        self.announce(now=now)
+
+    # Time.
+
+    def next_wakeup(self) -> float:
+        """Returns when ``wake`` has something to do, in seconds."""
+        unanswered = self.unanswered.next()
+        if unanswered is None:
+            return self.announce_at
+        return min(self.announce_at, unanswered)
+
+    def wake(self, *, now: float) -> None:
+        """Notes unanswered opening packets; announces the upstream."""
+        silent = [
+            key
+            for key in self.unanswered.pop_due(now)
+            if (flow := self.flows.flows.get(key)) is not None
+            and flow.first_sequence is None
+        ]
+        if silent and not self.view.suspected:
+            self.view.suspected = True
+            self.count(counter_name(ErrorKind.UPSTREAM_FAILED, action="suspected"))
+            self.announce(now=now)
+        for key in silent:
+            self.flows.remove(key)
+        if now >= self.announce_at:
+            self.flows.expire(now=now)
+            if len(self.probes) > self.flows.load + ANNOUNCE_FANOUT:
+                self.probes.clear()
+            self.announce(now=now)
--- /dev/null
+++ b/src/bramleydyke/direct/balancer.py
@@ -0,0 +1,187 @@
+"""The balancer's decisions in the direct mode: where each packet goes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.direct.constants import FRESH_CONFIG_S
+from bramleydyke.direct.directory import Directory
+from bramleydyke.direct.holders import Holders
+from bramleydyke.direct.lookups import Lookups
+from bramleydyke.direct.messages import (
+    Announcement,
+    Forward,
+    Missing,
+    Notice,
+    Placed,
+    Refused,
+    Relayed,
+)
+from bramleydyke.direct.openings import Openings
+from bramleydyke.direct.ports import Count, PacketCodec, Record, Send, SendToCaller
+from bramleydyke.direct.routes import Routes
+from bramleydyke.direct.spread import Spread
+from bramleydyke.direct.types import NodeIp, Packet
+from bramleydyke.errors import ErrorKind, counter_name
+
+
+@dataclass(slots=True, kw_only=True)
+class Balancer:
+    """One balancer: packets and messages in, packets and messages out.
+
+    Attributes:
+        reset: Sends a reset to the caller of a packet.
+        leaving: True once this balancer is about to stop.
+    """
+
+    node: NodeIp
+    codec: PacketCodec
+    routes: Routes
+    directory: Directory
+    spread: Spread
+    send: Send
+    reset: SendToCaller
+    count: Count
+    record: Record
+    leaving: bool = False
+    holders: Holders = field(default_factory=Holders)
+    openings: Openings = field(init=False)
+    lookups: Lookups = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.openings = Openings(
+            directory=self.directory,
+            holders=self.holders,
+            send=self.send,
+            reset=self.reset_flow,
+            count=self.count,
+            record=self.record,
+        )
+        self.lookups = Lookups(
+            directory=self.directory,
+            send=self.send,
+            count=self.count,
+            record=self.record,
+        )
+
+    def packet_in(self, datagram: bytes, *, now: float) -> None:
+        """Takes a datagram from a caller."""
+        packet = self.codec.from_caller(datagram)
+        if packet is None:
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+            return
+        shares = self.routes.shares(packet.route)
+        if shares is None:
+            self._without_route(packet, now=now)
+        elif packet.opening:
+            self.openings.packet_in(packet, shares, now=now)
+        else:
+            self._established(packet, now=now)
+
+    def message_in(self, sender: NodeIp, message: object, *, now: float) -> None:
+        """Takes a message from another node."""
+        match message:
+            case Placed():
+                self.openings.placed(sender, message)
+                for packet in self.lookups.found(message.flow):
+                    self._established(packet, now=now)
+            case Refused():
+                self.openings.refused(sender, message, now=now)
+            case Missing():
+                self._missing(sender, message, now=now)
+            case Announcement():
+                if self.directory.apply(message, now=now, heard=True):
+                    self._announced(message)
+                    self.spread.relay(message)
+            case Relayed():
+                announcement = message.announcement
+                if self.directory.apply(announcement, now=now, heard=False):
+                    self._announced(announcement)
+                    self.spread.relay(announcement)
+            case Notice():
+                self.spread.noticed(message, now=now)
+            case _:
+                self.count(counter_name(ErrorKind.BAD_FRAME))
+
+    def wake(self, *, now: float) -> None:
+        """Does what is due."""
+        self.openings.wake(now=now)
+        self.lookups.wake(now=now)
+        self.spread.wake(now=now)
+
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do, in seconds."""
+        times = (
+            self.openings.timers.next(),
+            self.lookups.timers.next(),
+            self.spread.next_wakeup(),
+        )
+        return min((time for time in times if time is not None), default=None)
+
+    def ready(self, *, now: float) -> bool:
+        """Tells whether this balancer can serve callers."""
+        return (
+            not self.leaving
+            and self.routes.current is not None
+            and bool(self.directory.usable_services(now=now))
+        )
+
+    def reset_flow(self, packet: Packet, _: bytes = b"") -> None:
+        """Resets the flow of a caller's packet; never answers a reset."""
+        if not packet.reset:
+            self.reset(packet, self.codec.reset_for(packet))
+
+    def _established(self, packet: Packet, *, now: float) -> None:
+        """Sends a packet to the holder of its flow, or seeks the holder."""
+        holder = self.holders.find(packet.flow, packet.acknowledged)
+        if holder is None:
+            services = self.routes.holders(packet.route)
+            self.lookups.packet_in(packet, services, now=now)
+            return
+        if self.directory.lifetime_ended(holder.node, holder.lifetime):
+            self.holders.forget(packet.flow)
+            self.count(counter_name(ErrorKind.FORGOTTEN, action="reset"))
+            self.record("flow_reset", flow=packet.flow, node=holder.node, why="ended")
+            self.reset_flow(packet)
+            return
+        entry = self.directory.entries.get(holder.node)
+        service = entry.announcement.service if entry else ""
+        forward = Forward(service, False, holder.lifetime, packet.datagram)
+        self.send(holder.node, forward)
+
+    def _missing(self, sender: NodeIp, message: Missing, *, now: float) -> None:
+        """Seeks a flow that an agent turned out not to hold."""
+        self.count(counter_name(ErrorKind.MOVED, action="retried"))
+        self.holders.forget(message.flow, sender)
+        packet = self.codec.from_caller(message.datagram)
+        if packet is not None and self.routes.shares(packet.route) is not None:
+            self._established(packet, now=now)
+
+    def _without_route(self, packet: Packet, *, now: float) -> None:
+        """Ends a flow whose route is gone.
+
+        A balancer that may have missed a change stays silent: the caller's
+        next copy may find the route.
+        """
+        self.count(counter_name(ErrorKind.NO_SERVICE))
+        if not self.routes.surely_absent(within=FRESH_CONFIG_S, now=now):
+            return
+        self.holders.forget(packet.flow)
+        self.record(
+            "refused",
+            flow=packet.flow,
+            kind=ErrorKind.NO_SERVICE.value,
+            version=self.routes.version,
+        )
+        self.reset_flow(packet)
+
+    def _announced(self, announcement: Announcement) -> None:
+        self.record(
+            "upstream_changed",
+            node=announcement.node,
+            service=announcement.service,
+            upstream=announcement.upstream,
+            state=announcement.state.value,
+            lifetime=announcement.lifetime,
+            sequence=announcement.sequence,
+        )
--- /dev/null
+++ b/src/bramleydyke/direct/constants.py
@@ -0,0 +1,119 @@
+"""Defaults of the direct mode, each with its unit in the name or beside it."""
+
+from __future__ import annotations
+
+# Opening and lookup of flows.
+
+OPENING_RETRY_S = 0.045
+"""Wait for an agent's answer to an opening packet before another is asked.
+
+Four times the round trip between zones of a region; callers repeat the packet
+only after 200 ms.
+"""
+
+MAX_OPENING_TRIES = 5
+"""Agents that are asked for one opening packet."""
+
+CANDIDATES = 3
+"""Upstreams in a flow's owner order among which the load decides."""
+
+LOOKUP_STAGE_S = 0.04
+"""Wait for the holder of a flow before more agents are asked."""
+
+LOOKUP_HOLD_S = 0.12
+"""Pause after a lookup that found no holder, before the flow is sought again.
+
+Below the callers' shortest retransmission interval of 200 ms.
+"""
+
+HELD_PACKETS = 32
+"""Packets of one flow that wait for its lookup; a window has 16."""
+
+SEQUENCE_WINDOW = 76_800
+"""Largest distance of an acknowledgement from an upstream's first sequence.
+
+A window of 16 packets of 1,200 bytes, four times.
+"""
+
+# Tables.
+
+MAX_FLOWS = 200_000
+"""Flows that a balancer remembers; more than 5.6 million over 550 nodes."""
+
+MAX_ABSENT = 20_000
+"""Flows that an agent remembers not to hold."""
+
+FLOW_IDLE_S = 60.0
+"""Idle time after which a flow is forgotten; callers keep none for longer."""
+
+# Suspicion.
+
+SUSPECT_S = 1.0
+"""Time for which an agent that did not answer gets no new flow."""
+
+MAX_SUSPECT_S = 4.0
+"""Limit of that time, which doubles with each failure in a row."""
+
+UPSTREAM_SILENT_S = 0.15
+"""An upstream that does not answer an opening packet in this time is silent.
+
+Upstreams answer within a millisecond, so only one that hangs takes longer.
+"""
+
+LOST_REPORTS = 3.0
+"""Report intervals without a report after which an upstream is silent."""
+
+# Spread.
+
+NOTICE_INTERVAL_S = 0.25
+"""Interval of configuration notices among balancers."""
+
+NOTICE_FANOUT = 3
+"""Balancers that get each periodic notice."""
+
+NEWS_FANOUT = 6
+"""Balancers that get a new configuration or a changed announcement at once."""
+
+ANNOUNCE_FANOUT = 8
+"""Balancers to which an agent announces its upstream directly."""
+
+ANNOUNCE_INTERVAL_S = 1.0
+"""Longest time between announcements of an agent."""
+
+PEER_IDLE_S = 10.0
+"""A balancer that was not heard for this long gets fewer notices."""
+
+FRESH_CONFIG_S = 1.5
+"""Age of a confirmed configuration up to which it surely lacks no route.
+
+Half of the 3 s in which a change must be in force.
+"""
+
+# Store.
+
+STORE_TIMEOUT_S = 1.5
+"""Wait for an answer of the store; it answers in milliseconds."""
+
+WATCH_WAIT_S = 4.0
+"""Longest wait of a watch. A connection that went silent costs no more."""
+
+CONFIG_POLL_S = 1.0
+"""Interval of plain reads of the configuration beside the watch.
+
+A watch may miss a change for seconds; a third of the 3 s that are allowed.
+"""
+
+STORE_BACKOFF_BASE_S = 0.1
+STORE_BACKOFF_CAP_S = 1.0
+"""Limit of the pause between failed calls: half of the time to recover."""
+
+ENTRY_EXPIRY_S = 120.0
+"""Silence after which a balancer's entry is removed from the store."""
+
+# Stops.
+
+BALANCER_LINGER_S = 2.5
+"""Time for which a stopping balancer forwards: over two readiness checks."""
+
+AGENT_LINGER_S = 0.25
+"""Time in which a stopping agent lets short flows end."""
--- /dev/null
+++ b/src/bramleydyke/direct/directory.py
@@ -0,0 +1,160 @@
+"""Upstreams and balancers that a process knows of, and how they answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.direct.constants import MAX_SUSPECT_S, SUSPECT_S
+from bramleydyke.direct.messages import Announcement
+from bramleydyke.direct.types import FlowTuple, NodeIp, UpstreamState
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+
+@dataclass(slots=True)
+class Entry:
+    """What is known of one upstream.
+
+    Attributes:
+        announcement: Newest announcement of the upstream.
+        load: Open flows there, as last reported, plus those sent since.
+        suspect_until: No new flow is sent there before this time.
+        failures: Times in a row that its agent did not answer.
+    """
+
+    announcement: Announcement
+    load: float
+    suspect_until: float = 0.0
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class Directory:
+    """Upstreams by the IP number of their VM.
+
+    A later announcement replaces an earlier one; the order comes from the
+    upstream's lifetime and report sequence, never from this process's clock.
+    """
+
+    zone: AvailabilityZone
+    entries: dict[NodeIp, Entry] = field(default_factory=dict)
+    by_service: dict[ServiceId, dict[NodeIp, float]] = field(default_factory=dict)
+
+    def apply(self, announcement: Announcement, *, now: float, heard: bool) -> bool:
+        """Takes an announcement; returns True if it changes what is used.
+
+        Args:
+            announcement: What an agent or the store says of an upstream.
+            now: Time in seconds.
+            heard: True if it comes straight from the agent.
+        """
+        entry = self.entries.get(announcement.node)
+        if entry is None:
+            self._insert(announcement)
+            return True
+        old = entry.announcement
+        if announcement.order() < old.order():
+            return False
+        if old.service != announcement.service:
+            self.by_service[old.service].pop(announcement.node, None)
+            self._insert(announcement)
+            return True
+        entry.announcement = announcement
+        if heard:
+            entry.load = announcement.load
+            self.answered(announcement.node)
+        return (old.state, old.lifetime) != (announcement.state, announcement.lifetime)
+
+    def _insert(self, announcement: Announcement) -> None:
+        node = announcement.node
+        self.entries[node] = Entry(announcement, announcement.load)
+        self.by_service.setdefault(announcement.service, {})[node] = 1.0
+
+    def removed(self, node: NodeIp) -> bool:
+        """Notes that an upstream's entry was removed from the store."""
+        entry = self.entries.get(node)
+        if entry is None or entry.announcement.state is UpstreamState.GONE:
+            return False
+        entry.announcement = _with_state(entry.announcement, UpstreamState.GONE)
+        return True
+
+    def answered(self, node: NodeIp) -> None:
+        """Notes an answer of an agent."""
+        entry = self.entries.get(node)
+        if entry is not None:
+            entry.failures = 0
+            entry.suspect_until = 0.0
+
+    def silent(self, node: NodeIp, *, now: float) -> None:
+        """Notes that an agent did not answer."""
+        entry = self.entries.get(node)
+        if entry is not None:
+            pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.failures)
+            entry.failures += 1
+            entry.suspect_until = now + pause
+
+    def candidates(
+        self, service: ServiceId, flow: FlowTuple, *, width: int, now: float
+    ) -> list[NodeIp]:
+        """Returns the agents to ask for a new flow, the best one first.
+
+        The first ``width`` upstreams of the flow's owner order are put in
+        order of their load, so that a lookup finds the holder among few.
+        Upstreams whose agents did not answer come last.
+        """
+        order = self.owners(service, flow)
+        ready = [
+            node
+            for node in order
+            if self.entries[node].announcement.state is UpstreamState.READY
+        ]
+        usable = [node for node in ready if self.entries[node].suspect_until <= now]
+        suspect = [node for node in ready if self.entries[node].suspect_until > now]
+        first = sorted(usable[:width], key=self._rank)
+        return first + usable[width:] + suspect
+
+    def _rank(self, node: NodeIp) -> tuple[float, bool]:
+        entry = self.entries[node]
+        return entry.load, entry.announcement.zone != self.zone
+
+    def owners(self, service: ServiceId, flow: FlowTuple) -> list[NodeIp]:
+        """Returns the agents that may hold a flow, the likeliest first."""
+        nodes = self.by_service.get(service, {})
+        weights: dict[UpstreamId, float] = {
+            UpstreamId(node): weight
+            for node, weight in nodes.items()
+            if self.entries[node].announcement.state is not UpstreamState.GONE
+        }
+        return [NodeIp(node) for node in owner_order(flow, weights)]
+
+    def lifetime_ended(self, node: NodeIp, lifetime: int) -> bool:
+        """Tells whether flows of an upstream's lifetime are surely dead."""
+        entry = self.entries.get(node)
+        if entry is None or lifetime == 0:
+            return False
+        newest = entry.announcement
+        if newest.lifetime > lifetime:
+            return True
+        return newest.lifetime == lifetime and newest.state is UpstreamState.GONE
+
+    def usable_services(self, *, now: float) -> set[ServiceId]:
+        """Returns the services that have an upstream for new flows."""
+        return {
+            entry.announcement.service
+            for entry in self.entries.values()
+            if entry.announcement.state is UpstreamState.READY
+            and entry.suspect_until <= now
+        }
+
+
+def _with_state(announcement: Announcement, state: UpstreamState) -> Announcement:
+    return Announcement(
+        node=announcement.node,
+        zone=announcement.zone,
+        service=announcement.service,
+        upstream=announcement.upstream,
+        lifetime=announcement.lifetime,
+        sequence=announcement.sequence,
+        revision=announcement.revision,
+        state=state,
+    )
--- /dev/null
+++ b/src/bramleydyke/direct/entry_writer.py
@@ -0,0 +1,141 @@
+"""Keeps one object of this process in the store up to date.
+
+Only this process writes the object, but a write without an answer may take
+effect seconds later. Each write carries the revision that it replaces, so a
+late one cannot undo a newer one.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bramleydyke.core.retry import backoff
+from bramleydyke.direct.constants import STORE_BACKOFF_BASE_S, STORE_BACKOFF_CAP_S
+from bramleydyke.direct.ports import Count
+from bramleydyke.direct.store import CallStatus, Kind, Revision, Store, StoredObject
+from bramleydyke.ports import Clock
+
+
+@dataclass(slots=True, kw_only=True)
+class EntryWriter:
+    """Writer of one object.
+
+    Attributes:
+        wanted: Value to store; None to have no object.
+        stored: Object as the store last showed it; None if there is none.
+        known: True once the store has been read.
+        busy: True while a call or a pause before the next one is pending.
+        recalled: Takes the object that an earlier process left.
+    """
+
+    kind: Kind
+    name: str
+    store: Store
+    clock: Clock
+    random_source: random.Random
+    count: Count
+    recalled: Callable[[StoredObject], None] = lambda _: None
+    wanted: Any = None
+    stored: StoredObject | None = None
+    known: bool = False
+    busy: bool = False
+    failures: int = 0
+
+    def start(self) -> None:
+        """Reads the object that an earlier process may have left."""
+        if not self.busy:
+            self._read()
+
+    def want(self, value: Any) -> None:
+        """Sets the value to store."""
+        self.wanted = value
+        self._settle()
+
+    def settled(self) -> bool:
+        """Tells whether the store holds what is wanted."""
+        stored = None if self.stored is None else self.stored.value
+        return self.known and stored == self.wanted
+
+    def _settle(self) -> None:
+        if self.busy or self.settled():
+            return
+        self.busy = True
+        if not self.known:
+            self._read()
+        elif self.wanted is None:
+            assert self.stored is not None
+            self.store.remove(
+                self.kind, self.name, self.stored.revision, self._on_removed
+            )
+        elif self.stored is None:
+            self.store.create(self.kind, self.name, self.wanted, self._on_written)
+        else:
+            revision: Revision = self.stored.revision
+            self.store.replace(
+                self.kind, self.name, self.wanted, revision, self._on_written
+            )
+
+    def _read(self) -> None:
+        self.busy = True
+        self.store.get(self.kind, self.name, self._on_read)
+
+    def _on_read(self, status: CallStatus, stored: StoredObject | None) -> None:
+        if status not in (CallStatus.OK, CallStatus.NOT_FOUND):
+            self._retry(status)
+            return
+        first = not self.known
+        self._take(stored)
+        if first and stored is not None:
+            self.recalled(stored)
+        self._settle()
+
+    def _on_written(self, status: CallStatus, stored: StoredObject | None) -> None:
+        if status is CallStatus.NOT_FOUND:
+            stored = None
+        elif status not in (CallStatus.OK, CallStatus.CONFLICT) or stored is None:
+            self._unknown(status)
+            return
+        self._take(stored)
+        self._settle()
+
+    def _on_removed(self, status: CallStatus, stored: StoredObject | None) -> None:
+        if status is CallStatus.CONFLICT and stored is not None:
+            self._take(stored)
+        elif status in (CallStatus.OK, CallStatus.NOT_FOUND):
+            self._take(None)
+        else:
+            self._unknown(status)
+            return
+        self._settle()
+
+    def _take(self, stored: StoredObject | None) -> None:
+        self.stored = stored
+        self.known = True
+        self.busy = False
+        self.failures = 0
+
+    def _unknown(self, status: CallStatus) -> None:
+        """Reads the object again before the next write."""
+        self.known = False
+        self._retry(status)
+
+    def _retry(self, status: CallStatus) -> None:
+        self.count(f"store.write.{status.value}")
+        delay = backoff(
+            self.failures,
+            random_source=self.random_source,
+            base=STORE_BACKOFF_BASE_S,
+            cap=STORE_BACKOFF_CAP_S,
+        )
+        self.failures += 1
+        self.clock.callLater(delay, self._again)
+
+    def _again(self) -> None:
+        self.busy = False
+        if self.known or self.wanted is not None:
+            self._settle()
+        else:
+            self._read()
--- /dev/null
+++ b/src/bramleydyke/direct/holders.py
@@ -0,0 +1,96 @@
+"""Which agents hold the flows that a balancer has seen."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from itertools import islice
+
+import msgspec
+
+from bramleydyke.direct.constants import MAX_FLOWS, SEQUENCE_WINDOW
+from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp
+
+_SEQUENCE_MASK = 0xFFFF_FFFF
+
+
+def acknowledges(acknowledged: int, first_sequence: int) -> bool:
+    """Tells whether an acknowledgement belongs to a sequence of numbers."""
+    return (acknowledged - first_sequence) & _SEQUENCE_MASK <= SEQUENCE_WINDOW
+
+
+class Holder(msgspec.Struct, frozen=True, gc=False):
+    """An agent whose upstream holds a flow, or is opening it."""
+
+    node: NodeIp
+    lifetime: Lifetime
+    first_sequence: int | None
+    """First sequence of the upstream; None once the flow is surely open."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Holders:
+    """Holders by flow, least recently used first; bounded.
+
+    Attributes:
+        open: Holder of each open flow.
+        opening: Upstreams that have accepted a flow. A repeated opening
+            packet may have reached two; the caller goes on with one of them.
+    """
+
+    max_flows: int = MAX_FLOWS
+    open: OrderedDict[FlowTuple, Holder] = field(default_factory=OrderedDict)
+    opening: OrderedDict[FlowTuple, list[Holder]] = field(default_factory=OrderedDict)
+
+    def accepted(self, flow: FlowTuple, holder: Holder) -> None:
+        """Notes that an upstream holds a flow or has accepted it."""
+        if holder.first_sequence is None:
+            self.opening.pop(flow, None)
+            self.open[flow] = holder
+            _trim(self.open, self.max_flows)
+            return
+        if flow in self.open:
+            return
+        others = [h for h in self.opening.get(flow, ()) if h.node != holder.node]
+        self.opening[flow] = [*others, holder]
+        _trim(self.opening, self.max_flows)
+
+    def find(self, flow: FlowTuple, acknowledged: int) -> Holder | None:
+        """Returns the holder of a flow that a caller has answered."""
+        holder = self.open.get(flow)
+        if holder is not None:
+            self.open.move_to_end(flow)
+            return holder
+        for candidate in self.opening.get(flow, ()):
+            first = candidate.first_sequence
+            if first is not None and acknowledges(acknowledged, first):
+                self.accepted(flow, Holder(candidate.node, candidate.lifetime, None))
+                return self.open[flow]
+        return None
+
+    def accepted_by(self, flow: FlowTuple) -> Holder | None:
+        """Returns the agent that gets a copy of a flow's opening packet."""
+        holder = self.open.get(flow)
+        if holder is not None:
+            return holder
+        accepted = self.opening.get(flow)
+        return None if not accepted else accepted[-1]
+
+    def forget(self, flow: FlowTuple, node: NodeIp | None = None) -> None:
+        """Forgets the holder of a flow, or only an agent that is named."""
+        holder = self.open.get(flow)
+        if holder is not None and (node is None or holder.node == node):
+            del self.open[flow]
+        rest = [h for h in self.opening.pop(flow, ()) if node not in (None, h.node)]
+        if rest:
+            self.opening[flow] = rest
+
+    def held_by(self, node: NodeIp, *, limit: int) -> list[FlowTuple]:
+        """Returns some of the open flows at an agent."""
+        flows = (flow for flow, holder in self.open.items() if holder.node == node)
+        return list(islice(flows, limit))
+
+
+def _trim(table: OrderedDict[FlowTuple, object], limit: int) -> None:
+    if len(table) > limit:
+        table.popitem(last=False)
--- /dev/null
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -0,0 +1,129 @@
+"""Follows the objects of one kind through outages of the store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from bramleydyke.core.retry import backoff
+from bramleydyke.direct.constants import (
+    STORE_BACKOFF_BASE_S,
+    STORE_BACKOFF_CAP_S,
+    WATCH_WAIT_S,
+)
+from bramleydyke.direct.ports import Count, Record
+from bramleydyke.direct.store import (
+    CallStatus,
+    Changes,
+    Kind,
+    Listing,
+    Revision,
+    Store,
+)
+from bramleydyke.ports import Clock
+
+
+@dataclass(slots=True, kw_only=True)
+class KindWatch:
+    """A list of a kind, then watches; a new list after each failure.
+
+    Attributes:
+        listed: Takes a whole listing.
+        changed: Takes the changes of a watch.
+        poll_s: Returns the interval of lists beside the watch; None: no lists.
+        lost: True while the store does not answer.
+    """
+
+    kind: Kind
+    store: Store
+    clock: Clock
+    random_source: random.Random
+    listed: Callable[[Listing], None]
+    changed: Callable[[Changes], None]
+    count: Count
+    record: Record
+    poll_s: Callable[[], float] | None = None
+    lost: bool = False
+    failures: int = 0
+    stopped: bool = False
+    pending: list[Any] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Starts to follow the kind."""
+        self._list()
+        if self.poll_s is not None:
+            self._schedule_poll()
+
+    def stop(self) -> None:
+        """Makes no more calls."""
+        self.stopped = True
+
+    def _list(self) -> None:
+        if not self.stopped:
+            self.store.list(self.kind, self._on_list)
+
+    def _on_list(self, status: CallStatus, listing: Listing | None) -> None:
+        if self.stopped:
+            return
+        if status is not CallStatus.OK or listing is None:
+            self._retry(status)
+            return
+        self._regained()
+        self.listed(listing)
+        self._watch(listing.revision)
+
+    def _watch(self, revision: Revision) -> None:
+        if not self.stopped:
+            self.store.watch(self.kind, revision, WATCH_WAIT_S, self._on_watch)
+
+    def _on_watch(self, status: CallStatus, changes: Changes | None) -> None:
+        if self.stopped:
+            return
+        if status is CallStatus.OK and changes is not None:
+            self._regained()
+            self.changed(changes)
+            self._watch(changes.revision)
+        elif status is CallStatus.HISTORY_GONE:
+            self.count(f"store.{self.kind.value}.history_gone")
+            self._list()
+        else:
+            self._retry(status)
+
+    def _retry(self, status: CallStatus) -> None:
+        self.count(f"store.{self.kind.value}.{status.value}")
+        if not self.lost:
+            self.lost = True
+            self.record("store_lost", kind=self.kind.value, status=status.value)
+        delay = backoff(
+            self.failures,
+            random_source=self.random_source,
+            base=STORE_BACKOFF_BASE_S,
+            cap=STORE_BACKOFF_CAP_S,
+        )
+        self.failures += 1
+        self.clock.callLater(delay, self._list)
+
+    def _regained(self) -> None:
+        self.failures = 0
+        if self.lost:
+            self.lost = False
+            self.record("store_regained", kind=self.kind.value)
+
+    def _schedule_poll(self) -> None:
+        assert self.poll_s is not None
+        delay = self.poll_s() * self.random_source.uniform(0.75, 1.0)
+        self.clock.callLater(delay, self._poll)
+
+    def _poll(self) -> None:
+        if self.stopped:
+            return
+        self._schedule_poll()
+        if not self.lost:
+            self.store.list(self.kind, self._on_poll)
+
+    def _on_poll(self, status: CallStatus, listing: Listing | None) -> None:
+        """Takes a list beside the watch, which may miss changes."""
+        if not self.stopped and status is CallStatus.OK and listing is not None:
+            self.listed(listing)
--- /dev/null
+++ b/src/bramleydyke/direct/messages.py
@@ -0,0 +1,116 @@
+"""Messages between balancers and agents, msgpack over UDP."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from bramleydyke.direct.types import (
+    ConfigVersion,
+    FlowTuple,
+    Lifetime,
+    NodeIp,
+    UpstreamState,
+)
+from bramleydyke.errors import ErrorKind
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Base of the messages."""
+
+
+class Forward(Message, tag=1):
+    """Balancer to agent: a caller's packet."""
+
+    service: ServiceId
+    seek: bool
+    """True if the balancer does not know which agent holds the flow."""
+
+    lifetime: Lifetime
+    """Upstream lifetime that opened the flow; 0 if not known."""
+
+    datagram: bytes
+
+
+class Placed(Message, tag=2):
+    """Agent to balancer: the upstream holds a flow or is opening it."""
+
+    flow: FlowTuple
+    lifetime: Lifetime
+    first_sequence: int | None
+    """Sequence of the upstream's answer; None once the flow is open."""
+
+    load: float
+
+
+class Refused(Message, tag=3):
+    """Agent to balancer: the upstream takes no new flow."""
+
+    flow: FlowTuple
+    kind: ErrorKind
+    load: float
+
+
+class Missing(Message, tag=4):
+    """Agent to balancer: the upstream does not hold the flow of a packet."""
+
+    flow: FlowTuple
+    datagram: bytes
+
+
+class Announcement(Message, tag=5):
+    """State of an upstream; ordered by lifetime, sequence and revision."""
+
+    node: NodeIp
+    zone: AvailabilityZone
+    service: ServiceId
+    upstream: UpstreamId
+    lifetime: Lifetime
+    sequence: int
+    """Number of the upstream's report that it rests on."""
+
+    revision: int
+    """Number of the agent's announcement for that report."""
+
+    state: UpstreamState
+    load: float = 0.0
+
+    def order(self) -> tuple[int, int, int]:
+        """Returns what later announcements have larger."""
+        return (self.lifetime, self.sequence, self.revision)
+
+
+class Notice(Message, tag=6):
+    """Balancer to balancer: the version that is in force at the sender."""
+
+    node: NodeIp
+    version: ConfigVersion
+    leaving: bool = False
+
+
+class Relayed(Message, tag=7):
+    """Balancer to balancer: a changed announcement that it received."""
+
+    announcement: Announcement
+
+
+MeshMessage = Forward | Placed | Refused | Missing | Announcement | Notice | Relayed
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(MeshMessage)
+
+
+def encode(message: Any) -> bytes:
+    """Returns the datagram of a message."""
+    return _ENCODER.encode(message)
+
+
+def decode(datagram: bytes) -> Any:
+    """Returns the message of a datagram.
+
+    Raises:
+        msgspec.MsgspecError: The datagram is not a message.
+    """
+    return _DECODER.decode(datagram)
--- /dev/null
+++ b/src/bramleydyke/direct/registry.py
@@ -0,0 +1,227 @@
+"""Entries of this system's processes in the store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleydyke.direct.constants import CONFIG_POLL_S, NOTICE_INTERVAL_S
+from bramleydyke.direct.directory import Directory
+from bramleydyke.direct.kind_watch import KindWatch
+from bramleydyke.direct.messages import Announcement
+from bramleydyke.direct.ports import Count, Record
+from bramleydyke.direct.routes import Routes, RouteSet
+from bramleydyke.direct.spread import Spread
+from bramleydyke.direct.store import Changes, Kind, Listing, Store, StoredObject
+from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
+from bramleydyke.ports import Clock
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+
+class BalancerEntry(msgspec.Struct, frozen=True):
+    """A balancer that runs, or ran lately."""
+
+    node: NodeIp
+    zone: AvailabilityZone
+
+
+class UpstreamEntry(msgspec.Struct, frozen=True):
+    """An upstream that its agent announced; the fields of ``Announcement``."""
+
+    node: NodeIp
+    zone: AvailabilityZone
+    service: ServiceId
+    upstream: UpstreamId
+    lifetime: Lifetime
+    sequence: int
+    revision: int
+    state: UpstreamState
+
+    def announcement(self) -> Announcement:
+        """Returns what the entry announces."""
+        return Announcement(
+            node=self.node,
+            zone=self.zone,
+            service=self.service,
+            upstream=self.upstream,
+            lifetime=self.lifetime,
+            sequence=self.sequence,
+            revision=self.revision,
+            state=self.state,
+        )
+
+
+def entry_of(announcement: Announcement) -> UpstreamEntry:
+    """Returns the entry of an announcement, without its load."""
+    return UpstreamEntry(
+        node=announcement.node,
+        zone=announcement.zone,
+        service=announcement.service,
+        upstream=announcement.upstream,
+        lifetime=announcement.lifetime,
+        sequence=announcement.sequence,
+        revision=announcement.revision,
+        state=announcement.state,
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Registry:
+    """What a balancer takes from the store.
+
+    Attributes:
+        routes_changed: Called when a newer configuration is in force.
+        upstreams_changed: Called when an upstream changed.
+    """
+
+    store: Store
+    clock: Clock
+    random_source: random.Random
+    routes: Routes
+    directory: Directory
+    spread: Spread
+    count: Count
+    record: Record
+    watches: list[KindWatch] = field(default_factory=list)
+    listed_names: set[NodeIp] = field(default_factory=set)
+
+    def start(self) -> None:
+        """Starts to follow all kinds."""
+        self.watches = [
+            self._watch(
+                Kind.CONFIGURATION,
+                self._routes_listed,
+                self._routes_changed,
+                poll_s=self.poll_interval_s,
+            ),
+            self._watch(
+                Kind.UPSTREAMS, self._upstreams_listed, self._upstreams_changed
+            ),
+            self._watch(
+                Kind.BALANCERS, self._balancers_listed, self._balancers_changed
+            ),
+        ]
+        for watch in self.watches:
+            watch.start()
+
+    def stop(self) -> None:
+        """Makes no more calls."""
+        for watch in self.watches:
+            watch.stop()
+
+    def poll_interval_s(self) -> float:
+        """Returns the interval of plain reads of the configuration.
+
+        All balancers together read at a steady rate, whatever their number;
+        the first that sees a change tells the others.
+        """
+        return max(CONFIG_POLL_S, NOTICE_INTERVAL_S * len(self.spread.peers))
+
+    def apply_routes(self, routes: RouteSet, *, source: str) -> bool:
+        """Puts a configuration into force, unless it is not newer."""
+        if not self.routes.apply(routes):
+            return False
+        self.record(
+            "configuration_applied",
+            version=routes.version,
+            routes=len(routes.routes),
+            source=source,
+        )
+        self.spread.changed(now=self.clock.seconds())
+        return True
+
+    def _watch(
+        self,
+        kind: Kind,
+        listed: Callable[[Listing], None],
+        changed: Callable[[Changes], None],
+        *,
+        poll_s: Callable[[], float] | None = None,
+    ) -> KindWatch:
+        return KindWatch(
+            kind=kind,
+            store=self.store,
+            clock=self.clock,
+            random_source=self.random_source,
+            listed=listed,
+            changed=changed,
+            count=self.count,
+            record=self.record,
+            poll_s=poll_s,
+        )
+
+    # Configuration.
+
+    def _routes_listed(self, listing: Listing) -> None:
+        for stored in listing.objects:
+            self._take_routes(stored)
+        self.routes.confirm(now=self.clock.seconds())
+
+    def _routes_changed(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if not change.removed:
+                self._take_routes(change.object)
+
+    def _take_routes(self, stored: StoredObject) -> None:
+        if isinstance(stored.value, RouteSet):
+            self.apply_routes(stored.value, source="store")
+
+    # Upstreams.
+
+    def _upstreams_listed(self, listing: Listing) -> None:
+        for stored in listing.objects:
+            self._take_upstream(stored)
+        names = {NodeIp(stored.name) for stored in listing.objects}
+        for node in self.listed_names - names:
+            self.directory.removed(node)
+        self.listed_names = names
+
+    def _upstreams_changed(self, changes: Changes) -> None:
+        for change in changes.changes:
+            node = NodeIp(change.object.name)
+            if change.removed:
+                self.listed_names.discard(node)
+                if self.directory.removed(node):
+                    self.record("upstream_removed", node=node)
+            else:
+                self.listed_names.add(node)
+                self._take_upstream(change.object)
+
+    def _take_upstream(self, stored: StoredObject) -> None:
+        if not isinstance(stored.value, UpstreamEntry):
+            return
+        announcement = stored.value.announcement()
+        if announcement.node != stored.name:
+            self.count("store.upstreams.foreign")
+            return
+        now = self.clock.seconds()
+        if self.directory.apply(announcement, now=now, heard=False):
+            self.record(
+                "upstream_changed",
+                node=announcement.node,
+                service=announcement.service,
+                upstream=announcement.upstream,
+                state=announcement.state.value,
+                lifetime=announcement.lifetime,
+                source="store",
+            )
+
+    # Balancers.
+
+    def _balancers_listed(self, listing: Listing) -> None:
+        for stored in listing.objects:
+            self._take_balancer(stored)
+
+    def _balancers_changed(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.removed:
+                self.spread.remove_peer(NodeIp(change.object.name))
+            else:
+                self._take_balancer(change.object)
+
+    def _take_balancer(self, stored: StoredObject) -> None:
+        if isinstance(stored.value, BalancerEntry):
+            self.spread.add_peer(stored.value.node, now=self.clock.seconds())
--- /dev/null
+++ b/src/bramleydyke/direct/routes.py
@@ -0,0 +1,97 @@
+"""Routes in force: which service takes the new flows of an address."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import accumulate
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from bramleydyke.direct.types import ConfigVersion, FlowTuple, RouteAddress
+from bramleydyke.types import ServiceId
+
+
+class Share(msgspec.Struct, array_like=True, frozen=True):
+    """Part of a route's new flows that goes to one service."""
+
+    service: ServiceId
+    weight: float
+
+
+class RouteSet(msgspec.Struct, array_like=True, frozen=True):
+    """One version of the configuration, as it is spread and kept."""
+
+    version: ConfigVersion
+    routes: dict[RouteAddress, list[Share]]
+    services: list[ServiceId]
+
+
+def pick_service(shares: list[Share], flow: FlowTuple) -> ServiceId | None:
+    """Returns the service of a new flow, the same at every balancer."""
+    if len(shares) == 1:
+        return shares[0].service if shares[0].weight > 0 else None
+    bounds = list(accumulate(share.weight for share in shares))
+    if not bounds or bounds[-1] <= 0:
+        return None
+    point = xxh3_64_intdigest(flow) / 2**64 * bounds[-1]
+    return next(
+        share.service
+        for share, bound in zip(shares, bounds, strict=True)
+        if point < bound
+    )
+
+
+@dataclass(slots=True)
+class Routes:
+    """The newest configuration that this process has seen.
+
+    Attributes:
+        current: Configuration in force; None until the first one.
+        confirmed_at: When the store last confirmed ``current``, in seconds.
+        earlier: Services that had an address before; open flows stay there.
+    """
+
+    current: RouteSet | None = None
+    confirmed_at: float = float("-inf")
+    earlier: dict[RouteAddress, set[ServiceId]] = field(default_factory=dict)
+
+    @property
+    def version(self) -> ConfigVersion:
+        """Version in force; 0 before the first."""
+        return ConfigVersion(0) if self.current is None else self.current.version
+
+    def apply(self, routes: RouteSet) -> bool:
+        """Puts a configuration into force, unless it is not newer."""
+        if self.current is not None and routes.version <= self.current.version:
+            return False
+        old = {} if self.current is None else self.current.routes
+        for address, shares in old.items():
+            names = {share.service for share in shares}
+            if address in routes.routes:
+                now = {share.service for share in routes.routes[address]}
+                if names != now:
+                    self.earlier.setdefault(address, set()).update(names)
+            else:
+                self.earlier.pop(address, None)
+        self.current = routes
+        return True
+
+    def confirm(self, *, now: float) -> None:
+        """Notes that the store holds nothing newer."""
+        self.confirmed_at = now
+
+    def shares(self, address: RouteAddress) -> list[Share] | None:
+        """Returns the services of an address, or None if it has no route."""
+        return None if self.current is None else self.current.routes.get(address)
+
+    def holders(self, address: RouteAddress) -> list[ServiceId]:
+        """Returns the services that may hold open flows of an address."""
+        shares = self.shares(address) or []
+        names = {share.service: None for share in shares}
+        names.update(dict.fromkeys(sorted(self.earlier.get(address, ()))))
+        return list(names)
+
+    def surely_absent(self, *, within: float, now: float) -> bool:
+        """Tells whether a route that is not found does not exist."""
+        return self.current is not None and now - self.confirmed_at <= within
--- /dev/null
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -0,0 +1,105 @@
+"""Flows of one upstream, as its agent sees them pass."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from bramleydyke.direct.constants import FLOW_IDLE_S, MAX_ABSENT
+from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp
+
+
+@dataclass(slots=True)
+class UpstreamFlow:
+    """A flow that the upstream holds or is opening.
+
+    Attributes:
+        balancer: The balancer that sent its last packet; None if not known.
+        lifetime: Upstream lifetime that holds it.
+        seen: Time of its last packet, in seconds.
+        first_sequence: First sequence of the upstream; None before its answer.
+        open: True once the caller has answered the upstream.
+        asked_at: When the opening packet was delivered; None once answered.
+    """
+
+    balancer: NodeIp | None
+    lifetime: Lifetime
+    seen: float
+    first_sequence: int | None = None
+    open: bool = False
+    asked_at: float | None = None
+    caller_finished: bool = False
+    upstream_finished: bool = False
+
+    @property
+    def finished(self) -> bool:
+        """True if both ends have sent all their data."""
+        return self.caller_finished and self.upstream_finished
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamFlows:
+    """Flows by tuple, least recently used first.
+
+    Attributes:
+        absent: Flows that the upstream gave back a packet of.
+        load: Flows that are open or opening and not finished.
+    """
+
+    idle_s: float = FLOW_IDLE_S
+    flows: OrderedDict[FlowTuple, UpstreamFlow] = field(default_factory=OrderedDict)
+    absent: OrderedDict[FlowTuple, None] = field(default_factory=OrderedDict)
+    load: int = 0
+
+    def add(self, key: FlowTuple, flow: UpstreamFlow) -> UpstreamFlow:
+        """Adds a flow."""
+        self.remove(key)
+        self.absent.pop(key, None)
+        self.flows[key] = flow
+        self.load += 1
+        return flow
+
+    def touch(self, key: FlowTuple, *, now: float) -> UpstreamFlow | None:
+        """Returns a flow and notes a packet of it."""
+        flow = self.flows.get(key)
+        if flow is not None:
+            flow.seen = now
+            self.flows.move_to_end(key)
+        return flow
+
+    def remove(self, key: FlowTuple) -> None:
+        """Forgets a flow."""
+        flow = self.flows.pop(key, None)
+        if flow is not None and not flow.finished:
+            self.load -= 1
+
+    def finish(self, flow: UpstreamFlow, *, caller: bool) -> None:
+        """Notes that one end has sent all its data."""
+        before = flow.finished
+        if caller:
+            flow.caller_finished = True
+        else:
+            flow.upstream_finished = True
+        if flow.finished and not before:
+            self.load -= 1
+
+    def end(self, flow: UpstreamFlow) -> None:
+        """Notes that a flow was reset."""
+        self.finish(flow, caller=True)
+        self.finish(flow, caller=False)
+
+    def mark_absent(self, key: FlowTuple) -> None:
+        """Remembers that the upstream does not hold a flow."""
+        self.absent[key] = None
+        if len(self.absent) > MAX_ABSENT:
+            self.absent.popitem(last=False)
+
+    def expire(self, *, now: float) -> int:
+        """Forgets idle flows; returns their number."""
+        before = len(self.flows)
+        while self.flows:
+            key, flow = next(iter(self.flows.items()))
+            if now - flow.seen <= self.idle_s:
+                break
+            self.remove(key)
+        return before - len(self.flows)
--- /dev/null
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -0,0 +1,101 @@
+"""What an agent believes about the upstream on its VM."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bramleydyke.direct.constants import LOST_REPORTS
+from bramleydyke.direct.types import Lifetime, UpstreamState
+from bramleydyke.types import ServiceId, UpstreamId
+
+FIRST_SEQUENCES = 2
+"""A first report numbered up to this is of an upstream that just started."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What an upstream says of itself.
+
+    Attributes:
+        lifetime: Start of the upstream in Unix milliseconds.
+        sequence: Number of the report within the lifetime.
+        cold_s: Time for which the upstream is still slow after its start.
+    """
+
+    upstream: UpstreamId
+    service: ServiceId
+    lifetime: Lifetime
+    sequence: int
+    draining: bool
+    cold_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamView:
+    """The newest report and what followed from it.
+
+    An agent that has just started knows nothing and takes no new flow before
+    the first report: the upstream may have drained under an earlier process.
+
+    Attributes:
+        reported_at: When the last report arrived, in seconds.
+        suspected: True if an opening packet got no answer since then.
+        ended: True if the upstream has said that it is gone.
+        fresh: True if no earlier process can have opened flows at it.
+        floor: Lifetime and sequence of a report that an earlier process took.
+    """
+
+    report_interval_s: float
+    report: Report | None = None
+    reported_at: float = 0.0
+    suspected: bool = False
+    ended: bool = False
+    fresh: bool = False
+    floor: tuple[int, int] = (0, 0)
+
+    def recall(self, lifetime: Lifetime, sequence: int) -> None:
+        """Takes the newest report that an earlier process stored."""
+        self.floor = (lifetime, sequence)
+
+    def take(self, report: Report, *, now: float) -> bool:
+        """Takes a report; returns False if a later one is known."""
+        old = self.report
+        newest = self.floor if old is None else _order(old)
+        if _order(report) <= newest:
+            return False
+        if old is None or report.lifetime > old.lifetime:
+            self.ended = False
+            self.fresh = old is not None or report.sequence <= FIRST_SEQUENCES
+        self.report = report
+        self.reported_at = now
+        self.suspected = False
+        return True
+
+    def left(self, upstream: UpstreamId) -> bool:
+        """Notes that an upstream is gone; False if it is another one."""
+        if self.report is None or self.report.upstream != upstream:
+            return False
+        self.ended = True
+        return True
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """Lifetime of the upstream; 0 before the first report."""
+        return Lifetime(0) if self.report is None else self.report.lifetime
+
+    def state(self, *, now: float) -> UpstreamState | None:
+        """Returns the state, or None before the first report."""
+        if self.report is None:
+            return None
+        if self.ended:
+            return UpstreamState.GONE
+        if self.report.draining:
+            return UpstreamState.DRAINING
+        overdue = now - self.reported_at > LOST_REPORTS * self.report_interval_s
+        if self.suspected or overdue:
+            return UpstreamState.SILENT
+        return UpstreamState.READY
+
+
+def _order(report: Report) -> tuple[int, int]:
+    return (report.lifetime, report.sequence)
--- /dev/null
+++ b/src/bramleydyke/platform/main.py
@@ -0,0 +1,85 @@
+"""Entry point of the programs on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from bramleydyke.adapters.http_calls import HttpCalls
+from bramleydyke.daemons.direct import DirectNode, run_node
+from bramleydyke.daemons.direct_agent import DirectAgent
+from bramleydyke.daemons.direct_balancer import DirectBalancer
+from bramleydyke.direct.ports import Count
+from bramleydyke.direct.settings import (
+    DirectSettings,
+    Role,
+    SettingsError,
+    load_settings,
+)
+from bramleydyke.platform.endpoints import no_reports, readiness, reports
+from bramleydyke.platform.packets import PlatformPackets
+from bramleydyke.platform.store import PlatformStore
+from bramleydyke.ports import Clock
+
+SETTINGS_VARIABLE = "BRAMLEYDYKE_SETTINGS"
+
+START_FAILED = 2
+"""Exit status of a program that cannot start."""
+
+
+def main() -> int:
+    """Runs the program that the settings name; returns its exit status."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        sys.stderr.write(f"bramleydyke: {error}\n")
+        return START_FAILED
+    make = _balancer if settings.role is Role.BALANCER else _agent
+    run_node(
+        lambda reactor: make(reactor, settings, path), lambda node: node.terminate()
+    )
+    return 0
+
+
+def _new_store(settings: DirectSettings) -> Any:
+    def new_store(reactor: Any, clock: Clock, count: Count) -> PlatformStore:
+        calls = HttpCalls(reactor=reactor, clock=clock, content_type="application/json")
+        return PlatformStore(calls=calls, endpoint=settings.store_endpoint, count=count)
+
+    return new_store
+
+
+def _balancer(reactor: Any, settings: DirectSettings, path: Path) -> DirectNode:
+    node = DirectBalancer(
+        reactor,
+        settings,
+        path,
+        codec=PlatformPackets(),
+        new_store=_new_store(settings),
+    )
+    if settings.ready_endpoint is not None:
+        node.listen(settings.ready_endpoint, readiness(node.ready))
+    if settings.control_endpoint is not None:
+        node.listen(settings.control_endpoint, no_reports)
+    return node
+
+
+def _agent(reactor: Any, settings: DirectSettings, path: Path) -> DirectNode:
+    node = DirectAgent(
+        reactor,
+        settings,
+        path,
+        codec=PlatformPackets(),
+        new_store=_new_store(settings),
+    )
+    if settings.ready_endpoint is not None:
+        node.listen(settings.ready_endpoint, readiness(lambda: not node.role.pausing))
+    if settings.control_endpoint is not None:
+        handler = reports(
+            node.report, node.left, count=node.count, record=node.log.record
+        )
+        node.listen(settings.control_endpoint, handler)
+    return node
--- /dev/null
+++ b/src/bramleydyke/platform/packets.py
@@ -0,0 +1,98 @@
+"""Packets of the platform: one datagram with a head of 36 bytes."""
+
+from __future__ import annotations
+
+import struct
+
+from bramleydyke.direct.types import FlowTuple, Packet, RouteAddress
+
+HEAD_BYTES = 36
+MAX_PAYLOAD_BYTES = 1_200
+
+# echo, dport, src, sport, dst, seq, ack, flags, pad, len, sum
+_HEAD = struct.Struct(">4s2s4s2s4sIIB5sHI")
+
+SYN = 64
+ACK = 1
+FIN = 32
+RST = 8
+BOUNCED = 16
+
+_NO_ECHO = bytes(4)
+_NO_PAD = bytes(5)
+_FLAGS_AT = 24
+_LENGTH_AT = 30
+
+
+def _read(datagram: bytes, *, from_upstream: bool) -> Packet | None:
+    if len(datagram) < HEAD_BYTES:
+        return None
+    _, dport, src, sport, dst, seq, ack, flags, _, length, _ = _HEAD.unpack_from(
+        datagram
+    )
+    if length > MAX_PAYLOAD_BYTES or len(datagram) != HEAD_BYTES + length:
+        return None
+    bounced = bool(flags & BOUNCED)
+    # A packet that was given back still names the caller as its sender.
+    if from_upstream and not bounced:
+        caller, route = dst + dport, src + sport
+    else:
+        caller, route = src + sport, dst + dport
+    syn = bool(flags & SYN)
+    acknowledges = bool(flags & ACK)
+    opening = syn and not acknowledges
+    return Packet(
+        flow=FlowTuple(caller + route),
+        route=RouteAddress(route),
+        opening=opening,
+        accepting=syn and acknowledges,
+        bounced=bounced,
+        reset=bool(flags & RST),
+        finish=bool(flags & FIN),
+        # On an opening packet the field counts its copies.
+        copies=ack if opening else 0,
+        sequence=seq,
+        acknowledged=ack,
+        payload_bytes=length,
+        datagram=datagram,
+    )
+
+
+class PlatformPackets:
+    """Codec of the platform's packets; holds no state."""
+
+    def from_caller(self, datagram: bytes) -> Packet | None:
+        """Reads a caller's packet; None if its length is wrong."""
+        return _read(datagram, from_upstream=False)
+
+    def from_upstream(self, datagram: bytes) -> Packet | None:
+        """Reads a packet that an upstream sent or gave back."""
+        return _read(datagram, from_upstream=True)
+
+    def deliverable(self, packet: Packet) -> bytes:
+        """Returns a caller's packet without what the system wrote into it."""
+        datagram = packet.datagram
+        if not packet.bounced and datagram[:4] == _NO_ECHO:
+            return datagram
+        flags = datagram[_FLAGS_AT] & ~BOUNCED
+        middle = datagram[4:_FLAGS_AT] + bytes((flags,)) + _NO_PAD
+        return _NO_ECHO + middle + datagram[_LENGTH_AT:]
+
+    def reset_for(self, packet: Packet) -> bytes:
+        """Returns the reset of a flow, as the route's end sends it."""
+        caller, port = packet.flow[:4], packet.flow[4:6]
+        # Callers check the sequence against their own acknowledgement.
+        sequence = 0 if packet.opening else packet.acknowledged
+        return _HEAD.pack(
+            _NO_ECHO,
+            port,
+            packet.route[:4],
+            packet.route[4:6],
+            caller,
+            sequence,
+            0,
+            RST,
+            _NO_PAD,
+            0,
+            0,
+        )
--- /dev/null
+++ b/src/bramleydyke/platform/reports.py
@@ -0,0 +1,45 @@
+"""Liveness reports of upstreams, read as the product's reports."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from bramleydyke.direct.types import Lifetime
+from bramleydyke.direct.upstream_view import Report
+from bramleydyke.types import ServiceId, UpstreamId
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _LivenessReport(msgspec.Struct):
+    service: str
+    address: str
+    state: Literal["ready", "draining"]
+    sequence: _Count
+    born: _Count
+    """Start of the upstream in Unix milliseconds."""
+
+    cold_remaining_ms: float = 0.0
+
+
+def read_report(upstream: str, body: bytes) -> Report:
+    """Returns an upstream's report.
+
+    Args:
+        upstream: Id of the upstream, from the path of the call.
+        body: JSON body of the call.
+
+    Raises:
+        ValueError: A field is missing, mistyped or unknown.
+    """
+    report = msgspec.json.decode(body, type=_LivenessReport)
+    return Report(
+        upstream=UpstreamId(upstream),
+        service=ServiceId(report.service),
+        lifetime=Lifetime(report.born),
+        sequence=report.sequence,
+        draining=report.state == "draining",
+        cold_s=report.cold_remaining_ms / 1_000,
+    )
--- /dev/null
+++ b/src/bramleydyke/platform/store.py
@@ -0,0 +1,230 @@
+"""The platform's metadata store, behind the product's ``Store``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bramleydyke.adapters.http_calls import HttpCalls
+from bramleydyke.direct.constants import STORE_TIMEOUT_S
+from bramleydyke.direct.ports import Count
+from bramleydyke.direct.registry import BalancerEntry, UpstreamEntry
+from bramleydyke.direct.store import (
+    CallStatus,
+    Change,
+    Changes,
+    Kind,
+    Listing,
+    Reply,
+    Revision,
+    StoredObject,
+)
+from bramleydyke.platform.manifest import read_manifest
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+
+PATHS = {
+    Kind.CONFIGURATION: CONFIG_KIND,
+    Kind.UPSTREAMS: "bramleydyke-upstreams",
+    Kind.BALANCERS: "bramleydyke-balancers",
+}
+"""The product's kinds as the store names them; the last two are its own."""
+
+STATUSES = {
+    200: CallStatus.OK,
+    201: CallStatus.OK,
+    404: CallStatus.NOT_FOUND,
+    409: CallStatus.CONFLICT,
+    410: CallStatus.HISTORY_GONE,
+}
+
+REFUSED = frozenset({400, 403, 405, 413, 429, 503})
+"""Answers that say that nothing was done."""
+
+
+class _Meta(msgspec.Struct):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct):
+    meta: _Meta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _List(msgspec.Struct):
+    items: list[_Object]
+    current_rev: int
+    more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    removed: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    current_rev: int
+
+
+class _NewObject(msgspec.Struct):
+    meta: dict[str, Any]
+    spec: Any
+
+
+_DECODERS: dict[Kind, Callable[[bytes], Any]] = {
+    Kind.CONFIGURATION: read_manifest,
+    Kind.UPSTREAMS: msgspec.json.Decoder(UpstreamEntry).decode,
+    Kind.BALANCERS: msgspec.json.Decoder(BalancerEntry).decode,
+}
+
+
+class PlatformStore:
+    """Calls to the store over HTTP.
+
+    Attributes:
+        base_url: Where the store answers.
+    """
+
+    def __init__(self, *, calls: HttpCalls, endpoint: str, count: Count) -> None:
+        self.calls = calls
+        self.base_url = f"http://{endpoint}/objects"
+        self.count = count
+        self.newest_manifest: tuple[int, Any] = (0, None)
+
+    def list(self, kind: Kind, reply: Reply) -> None:
+        """Replies with all objects of a kind, from as many pages as needed."""
+        self._page(kind, [], "", reply)
+
+    def watch(
+        self, kind: Kind, revision: Revision, wait_s: float, reply: Reply
+    ) -> None:
+        """Replies with the changes after a revision, once there are some."""
+        wait_ms = int(wait_s * 1_000)
+        query = f"?watch={revision}&wait_ms={wait_ms}"
+
+        def done(status: int | None, body: bytes) -> None:
+            events = self._decode(status, body, _Events, reply)
+            if events is None:
+                return
+            changes = [
+                Change(self._stored(kind, event.object), event.removed)
+                for event in events.events
+            ]
+            reply(CallStatus.OK, Changes(changes, Revision(events.current_rev)))
+
+        self._call("GET", PATHS[kind] + query, done, timeout_s=wait_s + STORE_TIMEOUT_S)
+
+    def get(self, kind: Kind, name: str, reply: Reply) -> None:
+        """Replies with one object."""
+        self._object_call("GET", f"{PATHS[kind]}/{name}", kind, reply)
+
+    def create(self, kind: Kind, name: str, value: Any, reply: Reply) -> None:
+        """Creates an object."""
+        body = _NewObject({"name": name}, value)
+        self._object_call("POST", PATHS[kind], kind, reply, body=body)
+
+    def replace(
+        self, kind: Kind, name: str, value: Any, revision: Revision, reply: Reply
+    ) -> None:
+        """Replaces an object of a revision."""
+        body = _NewObject({"name": name, "revision": revision}, value)
+        self._object_call("PUT", f"{PATHS[kind]}/{name}", kind, reply, body=body)
+
+    def remove(self, kind: Kind, name: str, revision: Revision, reply: Reply) -> None:
+        """Removes an object of a revision."""
+        path = f"{PATHS[kind]}/{name}?revision={revision}"
+        self._object_call("DELETE", path, kind, reply)
+
+    def _page(
+        self, kind: Kind, before: list[StoredObject], after: str, reply: Reply
+    ) -> None:
+        def done(status: int | None, body: bytes) -> None:
+            page = self._decode(status, body, _List, reply)
+            if page is None:
+                return
+            objects = before + [self._stored(kind, item) for item in page.items]
+            if page.more and page.items:
+                self._page(kind, objects, page.items[-1].meta.name, reply)
+            else:
+                reply(CallStatus.OK, Listing(objects, Revision(page.current_rev)))
+
+        self._call("GET", PATHS[kind] + (f"?after={after}" if after else ""), done)
+
+    def _object_call(
+        self, method: str, path: str, kind: Kind, reply: Reply, *, body: Any = None
+    ) -> None:
+        def done(status: int | None, answer: bytes) -> None:
+            result = _status(status)
+            if result not in (CallStatus.OK, CallStatus.CONFLICT):
+                reply(result, None)
+                return
+            try:
+                item = msgspec.json.decode(answer, type=_Object)
+            except msgspec.MsgspecError:
+                # Some answers carry no object, as those to removals.
+                reply(result, None)
+                return
+            reply(result, self._stored(kind, item))
+
+        encoded = None if body is None else msgspec.json.encode(body)
+        self._call(method, path, done, body=encoded)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        done: Callable[[int | None, bytes], None],
+        *,
+        timeout_s: float = STORE_TIMEOUT_S,
+        body: bytes | None = None,
+    ) -> None:
+        self.count("store.calls")
+        url = f"{self.base_url}/{path}"
+        self.calls.call(method, url, timeout_s=timeout_s, done=done, body=body)
+
+    def _decode(self, status: int | None, body: bytes, form: Any, reply: Reply) -> Any:
+        result = _status(status)
+        if result is not CallStatus.OK:
+            reply(result, None)
+            return None
+        try:
+            return msgspec.json.decode(body, type=form)
+        except msgspec.MsgspecError:
+            self.count("store.bad_answer")
+            reply(CallStatus.LOST, None)
+            return None
+
+    def _stored(self, kind: Kind, item: _Object) -> StoredObject:
+        """Reads an object; one that is unreadable has no value."""
+        revision = Revision(item.meta.revision)
+        if kind is Kind.CONFIGURATION and item.meta.name == CONFIG_NAME:
+            return StoredObject(CONFIG_NAME, revision, self._manifest(item))
+        return StoredObject(item.meta.name, revision, self._value(kind, item))
+
+    def _manifest(self, item: _Object) -> Any:
+        """Reads the manifest, unless it is the one that was read last."""
+        revision, routes = self.newest_manifest
+        if routes is None or revision != item.meta.revision:
+            routes = self._value(Kind.CONFIGURATION, item)
+            self.newest_manifest = (item.meta.revision, routes)
+        return routes
+
+    def _value(self, kind: Kind, item: _Object) -> Any:
+        try:
+            return _DECODERS[kind](bytes(item.spec))
+        except ValueError:
+            self.count(f"store.{kind.value}.unreadable")
+            return None
+
+
+def _status(status: int | None) -> CallStatus:
+    if status is None:
+        return CallStatus.LOST
+    if status in STATUSES:
+        return STATUSES[status]
+    return CallStatus.REFUSED if status in REFUSED else CallStatus.LOST
--- a/src/bramleydyke/settings.py
+++ b/src/bramleydyke/settings.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
+from bramleydyke.endpoints import ENDPOINT, URL, Endpoint, HttpUrl
 from bramleydyke.types import (
     AvailabilityZone,
     NodeId,
@@ -20,12 +21,6 @@
     UpstreamId,
 )
 
-_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
-_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
-_ENDPOINT = rf"({_OCTET}\.){{3}}{_OCTET}:{_PORT}"
-
-ENDPOINT = f"^{_ENDPOINT}$"
-URL = f"^http://{_ENDPOINT}$"
 NAME = r"^[A-Za-z0-9_.-]{1,64}$"
 SERVICE = r"^[A-Za-z0-9_.-]{1,64}/[A-Za-z0-9_.-]{1,64}$"
 NODE = r"^(balancer/[^/]+|agent/[^/]+/[^/]+/[^/]+)$"
@@ -43,8 +38,6 @@
 }
 """What each pattern stands for, in the words of an error message."""
 
-Endpoint = Annotated[str, Meta(pattern=ENDPOINT)]
-HttpUrl = Annotated[str, Meta(pattern=URL)]
 Name = Annotated[str, Meta(pattern=NAME)]
 FullServiceName = Annotated[str, Meta(pattern=SERVICE)]
 Node = Annotated[str, Meta(pattern=NODE)]
--- a/src/bramleydyke/standins/board.py
+++ b/src/bramleydyke/standins/board.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import DatagramProtocol
 from twisted.internet.task import LoopingCall
 
-from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.ports import Clock
 from bramleydyke.standins.ledger import Ledger
 from bramleydyke.types import ServiceId, UpstreamId
--- a/src/bramleydyke/standins/documents.py
+++ b/src/bramleydyke/standins/documents.py
@@ -10,7 +10,7 @@
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
-from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.ports import Clock, DelayedCall
 from bramleydyke.standins.ledger import Ledger
 from bramleydyke.types import ServiceId
--- a/src/bramleydyke/standins/fabric.py
+++ b/src/bramleydyke/standins/fabric.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 from twisted.python.failure import Failure
 
-from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.types import Protocol as ServiceProtocol
 
 CONNECT_TIMEOUT_S = 1.0
--- a/src/bramleydyke/standins/platform.py
+++ b/src/bramleydyke/standins/platform.py
@@ -11,9 +11,9 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.logs import logger
 from bramleydyke.daemons.environment import Environment
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.settings import PlatformSettings
 from bramleydyke.standins.objects import (
     MAX_VALUE_BYTES,
--- a/src/bramleydyke/standins/upstream.py
+++ b/src/bramleydyke/standins/upstream.py
@@ -12,7 +12,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from bramleydyke.adapters.codec import parse_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.ports import Clock, DelayedCall
 from bramleydyke.standins.ledger import Ledger
 from bramleydyke.types import ServiceId
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -13,10 +13,10 @@
     Received,
     decode,
     encode,
-    parse_endpoint,
     remote_types,
 )
 from bramleydyke.constants import MAX_FRAME_BYTES, WIRE_VERSION
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ErrorKind
 from bramleydyke.messages import (
     CancelRequest,
--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -16,7 +16,6 @@
 from twisted.web.client import FileBodyProducer
 from twisted.web.http_headers import Headers
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.http_bodies import new_agent, read_body
 from bramleydyke.adapters.http_edge import CallerPort
 from bramleydyke.adapters.http_payload import (
@@ -31,6 +30,7 @@
 from bramleydyke.adapters.http_upstream import HttpUpstream
 from bramleydyke.adapters.metrics import Metrics
 from bramleydyke.demo.endpoints import HOST, free_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.errors import ANSWERS, ErrorKind
 from bramleydyke.messages import (
     AnswerCaller,
--- a/tests/adapters/test_network.py
+++ b/tests/adapters/test_network.py
@@ -11,12 +11,12 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 from reactor_harness import environment, reactor, spin
 
-from bramleydyke.adapters.codec import parse_endpoint
 from bramleydyke.adapters.metrics import Metrics
 from bramleydyke.adapters.network import Network
 from bramleydyke.constants import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, WIRE_VERSION
 from bramleydyke.core.members import Members
 from bramleydyke.demo.endpoints import free_endpoint
+from bramleydyke.endpoints import parse_endpoint
 from bramleydyke.messages import Announcement, Answer, Envelope, Payload
 from bramleydyke.types import (
     AvailabilityZone,
