Reset dead flows, park openings, start faster

Change: a lookup that all agents deny ends in a reset; opening packets wait for an upstream for up to 1.2 s; an agent takes flows from its stored entry, and a drain is stored before it is acknowledged; h11 instead of twisted.web.

--- a/src/bramleydyke/adapters/event_log.py
+++ b/src/bramleydyke/adapters/event_log.py
@@ -47,10 +47,10 @@
     def emit(self, record: Any) -> None:
         """Writes a record, or keeps its line until there is room."""
         line = {
+            **record.extra,
             "time": record.time.isoformat(),
             "node": self.node,
             "event": record.message,
-            **record.extra,
         }
         if record.exc_info:
             line["exception"] = record.formatted_exception
--- a/src/bramleydyke/adapters/http_server.py
+++ b/src/bramleydyke/adapters/http_server.py
@@ -5,17 +5,14 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from twisted.web.resource import Resource
-from twisted.web.server import Site
+import h11
+from twisted.internet.protocol import Factory, Protocol
 
 from bramleydyke.endpoints import parse_endpoint
 
 MAX_BODY_BYTES = 65_536
 """Largest body that is read; reports have a few hundred bytes."""
 
-IDLE_CONNECTION_S = 30
-"""Time after which a connection without requests is closed."""
-
 
 class HttpReply(NamedTuple):
     """Answer to a request."""
@@ -25,36 +22,120 @@
     content_type: str = "application/json"
 
 
-Handler = Callable[[str, str, bytes], HttpReply]
+class LaterReply:
+    """Answer to a request that is given after the handler has returned."""
+
+    def __init__(self) -> None:
+        self.reply: HttpReply | None = None
+        self.send: Callable[[HttpReply], None] | None = None
+
+    def __call__(self, reply: HttpReply) -> None:
+        """Gives the answer."""
+        self.reply = reply
+        if self.send is not None:
+            self.send(reply)
+
+    def then(self, send: Callable[[HttpReply], None]) -> None:
+        """Sets what sends the answer, now or once it is given."""
+        self.send = send
+        if self.reply is not None:
+            send(self.reply)
+
+
+Handler = Callable[[str, str, bytes], HttpReply | LaterReply]
 """Answers a method, path and body."""
 
 
-class _Root(Resource):
-    isLeaf = True  # noqa: N815 - name given by twisted
+class _HttpServer(Protocol):
+    """Answers the requests of one connection, one after another."""
 
     def __init__(self, handler: Handler) -> None:
-        super().__init__()
         self.handler = handler
-
-    def render(self, request: Any) -> bytes:
-        """Answers a request through the handler."""
-        body = request.content.read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
-            reply = HttpReply(413)
+        self.state = h11.Connection(h11.SERVER)
+        self.head: h11.Request | None = None
+        self.body: list[bytes] = []
+        self.open = True
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 - twisted
+        """Drops answers that are given from now on."""
+        self.open = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's name
+        """Reads requests."""
+        try:
+            self.state.receive_data(data)
+            self._read()
+        except h11.RemoteProtocolError as error:
+            if self.state.our_state is h11.IDLE:
+                self._send(HttpReply(error.error_status_hint))
+            self.transport.loseConnection()
+
+    def _read(self) -> None:
+        while self.open:
+            event = self.state.next_event()
+            if isinstance(event, h11.Request):
+                self.head = event
+                self.body.clear()
+            elif isinstance(event, h11.Data):
+                self.body.append(bytes(event.data))
+                if sum(map(len, self.body)) > MAX_BODY_BYTES:
+                    self._send(HttpReply(413))
+                    self.transport.loseConnection()
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._handle()
+            else:
+                return
+
+    def _handle(self) -> None:
+        assert self.head is not None
+        path = self.head.target.decode("ascii", "replace").partition("?")[0]
+        method = self.head.method.decode("ascii")
+        reply = self.handler(method, path, b"".join(self.body))
+        if isinstance(reply, LaterReply):
+            reply.then(self._send_later)
         else:
-            path = request.path.decode("ascii", "replace")
-            reply = self.handler(request.method.decode("ascii"), path, body)
-        request.setResponseCode(reply.status)
-        request.setHeader("Content-Type", reply.content_type)
-        return reply.body
+            self._send(reply)
+            self._next_request()
+
+    def _send_later(self, reply: HttpReply) -> None:
+        if self.open:
+            self._send(reply)
+            self._next_request()
+            self._read()
+
+    def _send(self, reply: HttpReply) -> None:
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        events = [
+            h11.Response(status_code=reply.status, headers=headers),
+            h11.Data(data=reply.body),
+            h11.EndOfMessage(),
+        ]
+        self.transport.write(b"".join(self.state.send(e) or b"" for e in events))
+
+    def _next_request(self) -> None:
+        if self.state.our_state is h11.DONE and self.state.their_state is h11.DONE:
+            self.state.start_next_cycle()
+        else:
+            self.transport.loseConnection()
+
+
+class _HttpFactory(Factory):
+    noisy = False
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+
+    def buildProtocol(self, address: Any) -> _HttpServer:  # noqa: N802 - twisted
+        """Returns the protocol of a connection."""
+        return _HttpServer(self.handler)
 
 
 def listen_http(reactor: Any, endpoint: str, handler: Handler) -> Any:
     """Listens for HTTP requests at ``ip:port``; returns twisted's port."""
     address = parse_endpoint(endpoint)
     assert address is not None, endpoint
-    site = Site(_Root(handler), timeout=IDLE_CONNECTION_S)
-    site.noisy = False
-    site.log = lambda _: None
-    site.displayTracebacks = False
-    return reactor.listenTCP(address[1], site, interface=address[0])
+    return reactor.listenTCP(address[1], _HttpFactory(handler), interface=address[0])
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -13,7 +13,12 @@
 
 from bramleydyke.adapters.clock import MonotonicClock
 from bramleydyke.adapters.event_log import EventLog, LineWriter
-from bramleydyke.adapters.http_server import Handler, HttpReply, listen_http
+from bramleydyke.adapters.http_server import (
+    Handler,
+    HttpReply,
+    LaterReply,
+    listen_http,
+)
 from bramleydyke.adapters.raw_datagrams import RawDatagrams
 from bramleydyke.direct.messages import decode, encode
 from bramleydyke.direct.settings import DirectSettings, SettingsError, load_settings
@@ -112,7 +117,7 @@
     def listen(self, endpoint: str, handler: Handler) -> None:
         """Serves HTTP; a handler that fails answers 500."""
 
-        def guard(method: str, path: str, body: bytes) -> HttpReply:
+        def guard(method: str, path: str, body: bytes) -> HttpReply | LaterReply:
             try:
                 reply = handler(method, path, body)
             except Exception:
@@ -168,7 +173,7 @@
             message = decode(datagram)
         except msgspec.MsgspecError:
             self.count(counter_name(ErrorKind.BAD_FRAME))
-            self.log.record("bad_message", sender=sender, size=len(datagram))
+            self.log.record("bad_message", peer=sender, size=len(datagram))
             return
         self.role.message_in(NodeIp(sender), message, now=self.clock.seconds())
 
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +20,12 @@
 from bramleydyke.endpoints import host_of, parse_endpoint, port_of
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
+DRAIN_STORE_WAIT_S = 0.7
+"""Wait for a drain to be stored; upstreams wait a second for the answer."""
+
+DRAIN_POLL_S = 0.01
+"""Interval at which the store's answer is looked for."""
+
 BALANCER_LIST_S = 5.0
 """Interval at which an agent reads the list of balancers.
 
@@ -82,11 +89,32 @@
         self._list_balancers()
         super().start()
 
-    def report(self, report: Report) -> bool:
-        """Takes a report of the upstream; returns True to acknowledge it."""
+    def report(self, report: Report, acknowledge: Callable[[bool], None]) -> None:
+        """Takes a report of the upstream.
+
+        A drain is acknowledged once it is stored, so that a later process of
+        this VM knows of it, or at the end of the time to acknowledge.
+
+        Args:
+            report: What the upstream says of itself.
+            acknowledge: Called with False if the report is not taken.
+        """
         taken = self.role.report(report, now=self.clock.seconds())
         self._store_entry()
-        return taken
+        if not (taken and report.draining) or self.entry.settled():
+            acknowledge(taken)
+            return
+        until = self.clock.seconds() + DRAIN_STORE_WAIT_S
+        self._when_stored(until, acknowledge)
+
+    def _when_stored(self, until: float, acknowledge: Callable[[bool], None]) -> None:
+        if self.entry.settled():
+            acknowledge(True)
+        elif self.clock.seconds() >= until:
+            self.count("drains.acknowledged_unstored")
+            acknowledge(True)
+        else:
+            self.clock.callLater(DRAIN_POLL_S, self._when_stored, until, acknowledge)
 
     def left(self, upstream: UpstreamId) -> None:
         """Takes an upstream's word that it is gone."""
@@ -128,7 +156,8 @@
                 lifetime=stored.value.lifetime,
                 sequence=stored.value.sequence,
             )
-            self.role.view.recall(stored.value.lifetime, stored.value.sequence)
+            entry = stored.value
+            self.role.view.recall(entry.lifetime, entry.sequence, entry.state)
 
     def _list_balancers(self) -> None:
         self.store.list(Kind.BALANCERS, self._on_balancers)
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -90,6 +90,7 @@
             random_source=self.random_source,
             routes=routes,
             directory=directory,
+            announced=self.role.announced,
             spread=spread,
             count=self.count,
             record=self.log.record,
@@ -101,7 +102,6 @@
             clock=self.clock,
             random_source=self.random_source,
             count=self.count,
-            wanted=BalancerEntry(me, zone),
         )
         self.packets = self.datagrams(settings.packet_endpoint, self._packet)
 
@@ -113,7 +113,7 @@
             self.role.spread.add_peer(NodeIp(host_of(seed)), now=now)
         self.listen(f"{settings.ip}:{settings.mesh_port}", self._snapshot_page)
         self.registry.start()
-        self.entry.start()
+        self.entry.want(BalancerEntry(self.role.node, self.role.directory.zone))
         super().start()
         self.role.spread.changed(now=now)
 
@@ -145,7 +145,8 @@
 
         self.peer_calls.call(
             "GET",
-            f"http://{node}:{self.settings.mesh_port}/snapshot",
+            f"{node}:{self.settings.mesh_port}",
+            "/snapshot",
             timeout_s=STORE_TIMEOUT_S,
             done=done,
         )
@@ -160,7 +161,7 @@
             self.registry.apply_routes(snapshot.routes, source=node)
         now = self.clock.seconds()
         for announcement in snapshot.upstreams:
-            self.role.directory.apply(announcement, now=now, heard=False)
+            self.role.announced(announcement, now=now, source=node)
         self.arm()
 
     def _snapshot_page(self, method: str, path: str, body: bytes) -> HttpReply:
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -19,6 +19,7 @@
 )
 from bramleydyke.direct.holders import acknowledges
 from bramleydyke.direct.messages import (
+    Absent,
     Announcement,
     Forward,
     Missing,
@@ -189,11 +190,16 @@
         if known or foreign or packet.flow in self.flows.absent:
             self._not_here(sender, message, packet)
             return
+        if message.seek and not message.probe:
+            self.count(counter_name(ErrorKind.FLOW_SILENT))
+            return
         self.probes[packet.flow] = Probe(sender, message.seek)
         self._hand_over(packet)
 
     def _not_here(self, sender: NodeIp, message: Forward, packet: Packet) -> None:
-        if not message.seek:
+        if message.seek:
+            self.send(sender, Absent(packet.flow))
+        else:
             self.count(counter_name(ErrorKind.MOVED))
             self.send(sender, Missing(packet.flow, packet.datagram))
 
@@ -240,7 +246,11 @@
             self._reset(packet, why="upstream lost the flow")
             return
         self.flows.mark_absent(key)
-        if probe is not None and not probe.seek:
+        if probe is None:
+            return
+        if probe.seek:
+            self.send(probe.balancer, Absent(key))
+        else:
             self.send(probe.balancer, Missing(key, packet.datagram))
 
     def _answer(self, packet: Packet, *, now: float) -> None:
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -9,6 +9,7 @@
 from bramleydyke.direct.holders import Holders
 from bramleydyke.direct.lookups import Lookups
 from bramleydyke.direct.messages import (
+    Absent,
     Announcement,
     Forward,
     Missing,
@@ -21,7 +22,7 @@
 from bramleydyke.direct.ports import Count, PacketCodec, Record, Send, SendToCaller
 from bramleydyke.direct.routes import Routes
 from bramleydyke.direct.spread import Spread
-from bramleydyke.direct.types import NodeIp, Packet
+from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
 from bramleydyke.errors import ErrorKind, counter_name
 
 
@@ -60,6 +61,7 @@
         self.lookups = Lookups(
             directory=self.directory,
             send=self.send,
+            reset=self.reset_flow,
             count=self.count,
             record=self.record,
         )
@@ -67,7 +69,7 @@
     def packet_in(self, datagram: bytes, *, now: float) -> None:
         """Takes a datagram from a caller."""
         packet = self.codec.from_caller(datagram)
-        if packet is None:
+        if packet is None or packet.accepting:
             self.count(counter_name(ErrorKind.BAD_FRAME))
             return
         shares = self.routes.shares(packet.route)
@@ -82,21 +84,21 @@
         """Takes a message from another node."""
         match message:
             case Placed():
-                self.openings.placed(sender, message)
+                self.openings.placed(sender, message, now=now)
                 for packet in self.lookups.found(message.flow):
                     self._established(packet, now=now)
             case Refused():
                 self.openings.refused(sender, message, now=now)
             case Missing():
                 self._missing(sender, message, now=now)
+            case Absent():
+                self.lookups.absent(message.flow, sender, now=now)
             case Announcement():
-                if self.directory.apply(message, now=now, heard=True):
-                    self._announced(message)
+                if self.announced(message, now=now, source="agent"):
                     self.spread.relay(message)
             case Relayed():
                 announcement = message.announcement
-                if self.directory.apply(announcement, now=now, heard=False):
-                    self._announced(announcement)
+                if self.announced(announcement, now=now, source=sender):
                     self.spread.relay(announcement)
             case Notice():
                 self.spread.noticed(message, now=now)
@@ -141,7 +143,7 @@
         if self.directory.lifetime_ended(holder.node, holder.lifetime):
             self.holders.forget(packet.flow)
             self.count(counter_name(ErrorKind.FORGOTTEN, action="reset"))
-            self.record("flow_reset", flow=packet.flow, node=holder.node, why="ended")
+            self.record("flow_reset", flow=packet.flow, agent=holder.node, why="ended")
             self.reset_flow(packet)
             return
         entry = self.directory.entries.get(holder.node)
@@ -175,13 +177,27 @@
         )
         self.reset_flow(packet)
 
-    def _announced(self, announcement: Announcement) -> None:
+    def announced(self, announcement: Announcement, *, now: float, source: str) -> bool:
+        """Takes an announcement; returns True if it changes what is used.
+
+        Args:
+            announcement: State of an upstream.
+            now: Time in seconds.
+            source: ``agent``, ``store`` or the balancer that passed it on.
+        """
+        heard = source == "agent"
+        if not self.directory.apply(announcement, now=now, heard=heard):
+            return False
         self.record(
             "upstream_changed",
-            node=announcement.node,
+            agent=announcement.node,
             service=announcement.service,
             upstream=announcement.upstream,
             state=announcement.state.value,
             lifetime=announcement.lifetime,
             sequence=announcement.sequence,
+            source=source,
         )
+        if announcement.state is UpstreamState.READY:
+            self.openings.upstream_ready(announcement.service, now=now)
+        return True
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -20,6 +20,21 @@
 LOOKUP_STAGE_S = 0.04
 """Wait for the holder of a flow before more agents are asked."""
 
+MAX_LOOKUP_AGENTS = 128
+"""Agents that are asked at most before a flow is taken for dead."""
+
+PARK_S = 1.2
+"""Time for which an opening packet waits for an upstream.
+
+Callers give up on a flow after 1.4 s.
+"""
+
+PARK_RETRY_S = 0.1
+"""Interval at which such a packet is tried again."""
+
+MAX_PARKED = 512
+"""Opening packets that wait for an upstream at one balancer."""
+
 LOOKUP_HOLD_S = 0.12
 """Pause after a lookup that found no holder, before the flow is sought again.
 
@@ -54,6 +69,15 @@
 MAX_SUSPECT_S = 4.0
 """Limit of that time, which doubles with each failure in a row."""
 
+DEAD_AGENT_S = 2.5
+"""Silence after which an agent's flows are taken for lost.
+
+An agent restarts within a second or two.
+"""
+
+DEAD_AGENT_FAILURES = 2
+"""Times in a row that such an agent must have left a question unanswered."""
+
 UPSTREAM_SILENT_S = 0.15
 """An upstream that does not answer an opening packet in this time is silent.
 
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, field
 
 from bramleydyke.core.rendezvous import owner_order
-from bramleydyke.direct.constants import MAX_SUSPECT_S, SUSPECT_S
+from bramleydyke.direct.constants import (
+    DEAD_AGENT_FAILURES,
+    DEAD_AGENT_S,
+    MAX_SUSPECT_S,
+    SUSPECT_S,
+)
 from bramleydyke.direct.messages import Announcement
 from bramleydyke.direct.types import FlowTuple, NodeIp, UpstreamState
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
@@ -18,12 +23,14 @@
     Attributes:
         announcement: Newest announcement of the upstream.
         load: Open flows there, as last reported, plus those sent since.
+        heard_at: When the agent was last heard, or the entry was added.
         suspect_until: No new flow is sent there before this time.
         failures: Times in a row that its agent did not answer.
     """
 
     announcement: Announcement
     load: float
+    heard_at: float
     suspect_until: float = 0.0
     failures: int = 0
 
@@ -34,10 +41,15 @@
 
     A later announcement replaces an earlier one; the order comes from the
     upstream's lifetime and report sequence, never from this process's clock.
+
+    Attributes:
+        complete: True while the store is followed, so that no upstream is
+            missing here.
     """
 
     zone: AvailabilityZone
     entries: dict[NodeIp, Entry] = field(default_factory=dict)
+    complete: bool = False
     by_service: dict[ServiceId, dict[NodeIp, float]] = field(default_factory=dict)
 
     def apply(self, announcement: Announcement, *, now: float, heard: bool) -> bool:
@@ -50,24 +62,24 @@
         """
         entry = self.entries.get(announcement.node)
         if entry is None:
-            self._insert(announcement)
+            self._insert(announcement, now=now)
             return True
         old = entry.announcement
         if announcement.order() < old.order():
             return False
         if old.service != announcement.service:
             self.by_service[old.service].pop(announcement.node, None)
-            self._insert(announcement)
+            self._insert(announcement, now=now)
             return True
         entry.announcement = announcement
         if heard:
             entry.load = announcement.load
-            self.answered(announcement.node)
+            self.answered(announcement.node, now=now)
         return (old.state, old.lifetime) != (announcement.state, announcement.lifetime)
 
-    def _insert(self, announcement: Announcement) -> None:
+    def _insert(self, announcement: Announcement, *, now: float) -> None:
         node = announcement.node
-        self.entries[node] = Entry(announcement, announcement.load)
+        self.entries[node] = Entry(announcement, announcement.load, now)
         self.by_service.setdefault(announcement.service, {})[node] = 1.0
 
     def removed(self, node: NodeIp) -> bool:
@@ -78,10 +90,11 @@
         entry.announcement = _with_state(entry.announcement, UpstreamState.GONE)
         return True
 
-    def answered(self, node: NodeIp) -> None:
+    def answered(self, node: NodeIp, *, now: float) -> None:
         """Notes an answer of an agent."""
         entry = self.entries.get(node)
         if entry is not None:
+            entry.heard_at = now
             entry.failures = 0
             entry.suspect_until = 0.0
 
@@ -93,6 +106,28 @@
             entry.failures += 1
             entry.suspect_until = now + pause
 
+    def dead(self, node: NodeIp, *, now: float) -> bool:
+        """Tells whether an agent has been silent for longer than a restart."""
+        entry = self.entries.get(node)
+        if entry is None:
+            return True
+        silent = now - entry.heard_at > DEAD_AGENT_S
+        return silent and entry.failures >= DEAD_AGENT_FAILURES
+
+    def restarting(self, node: NodeIp, *, now: float) -> bool:
+        """Tells whether an agent is silent, but no longer than a restart."""
+        entry = self.entries.get(node)
+        if entry is None or now - entry.heard_at > DEAD_AGENT_S:
+            return False
+        paused = entry.announcement.state is UpstreamState.PAUSED
+        return paused or entry.failures > 0
+
+    def refused(self, node: NodeIp, *, now: float) -> None:
+        """Notes that an agent answers, but takes no new flow."""
+        entry = self.entries.get(node)
+        if entry is not None:
+            entry.suspect_until = now + SUSPECT_S
+
     def candidates(
         self, service: ServiceId, flow: FlowTuple, *, width: int, now: float
     ) -> list[NodeIp]:
@@ -137,6 +172,15 @@
             return True
         return newest.lifetime == lifetime and newest.state is UpstreamState.GONE
 
+    def expects(self, service: ServiceId) -> bool:
+        """Tells whether a service has an upstream that may become ready.
+
+        A directory that is not complete may lack upstreams.
+        """
+        nodes = self.by_service.get(service, {})
+        states = {self.entries[node].announcement.state for node in nodes}
+        return not self.complete or bool(states - {UpstreamState.GONE})
+
     def usable_services(self, *, now: float) -> set[ServiceId]:
         """Returns the services that have an upstream for new flows."""
         return {
--- a/src/bramleydyke/direct/entry_writer.py
+++ b/src/bramleydyke/direct/entry_writer.py
@@ -25,6 +25,7 @@
 
     Attributes:
         wanted: Value to store; None to have no object.
+        decided: True once a value is wanted; until then nothing is written.
         stored: Object as the store last showed it; None if there is none.
         known: True once the store has been read.
         busy: True while a call or a pause before the next one is pending.
@@ -39,6 +40,7 @@
     count: Count
     recalled: Callable[[StoredObject], None] = lambda _: None
     wanted: Any = None
+    decided: bool = False
     stored: StoredObject | None = None
     known: bool = False
     busy: bool = False
@@ -52,6 +54,7 @@
     def want(self, value: Any) -> None:
         """Sets the value to store."""
         self.wanted = value
+        self.decided = True
         self._settle()
 
     def settled(self) -> bool:
@@ -60,7 +63,7 @@
         return self.known and stored == self.wanted
 
     def _settle(self) -> None:
-        if self.busy or self.settled():
+        if self.busy or not self.decided or self.settled():
             return
         self.busy = True
         if not self.known:
@@ -135,7 +138,7 @@
 
     def _again(self) -> None:
         self.busy = False
-        if self.known or self.wanted is not None:
+        if self.known or self.decided:
             self._settle()
         else:
             self._read()
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -33,6 +33,7 @@
         listed: Takes a whole listing.
         changed: Takes the changes of a watch.
         poll_s: Returns the interval of lists beside the watch; None: no lists.
+        on_lost: Called when the store no longer answers.
         lost: True while the store does not answer.
     """
 
@@ -45,6 +46,7 @@
     count: Count
     record: Record
     poll_s: Callable[[], float] | None = None
+    on_lost: Callable[[], None] = lambda: None
     lost: bool = False
     failures: int = 0
     stopped: bool = False
@@ -95,6 +97,7 @@
         self.count(f"store.{self.kind.value}.{status.value}")
         if not self.lost:
             self.lost = True
+            self.on_lost()
             self.record("store_lost", kind=self.kind.value, status=status.value)
         delay = backoff(
             self.failures,
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -32,6 +32,8 @@
     """Upstream lifetime that opened the flow; 0 if not known."""
 
     datagram: bytes
+    probe: bool = False
+    """True if an agent that does not know the flow may try its upstream."""
 
 
 class Placed(Message, tag=2):
@@ -60,6 +62,12 @@
     datagram: bytes
 
 
+class Absent(Message, tag=8):
+    """Agent to balancer: the upstream surely does not hold a flow."""
+
+    flow: FlowTuple
+
+
 class Announcement(Message, tag=5):
     """State of an upstream; ordered by lifetime, sequence and revision."""
 
@@ -96,7 +104,9 @@
     announcement: Announcement
 
 
-MeshMessage = Forward | Placed | Refused | Missing | Announcement | Notice | Relayed
+MeshMessage = (
+    Forward | Placed | Refused | Missing | Absent | Announcement | Notice | Relayed
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(MeshMessage)
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass, field
 
 from bramleydyke.core.timers import Timers
-from bramleydyke.direct.constants import CANDIDATES, MAX_OPENING_TRIES, OPENING_RETRY_S
+from bramleydyke.direct.constants import (
+    CANDIDATES,
+    MAX_OPENING_TRIES,
+    MAX_PARKED,
+    OPENING_RETRY_S,
+    PARK_RETRY_S,
+    PARK_S,
+)
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holder, Holders
 from bramleydyke.direct.messages import Forward, Placed, Refused
@@ -22,15 +29,19 @@
 
     Attributes:
         candidates: Agents to ask, the best one first.
+        until: End of its wait for an upstream, in seconds.
         asked: Number of them that have been asked.
         refused: Number of them that have refused.
+        full: True if one of them refused because its upstream was full.
     """
 
     packet: Packet
     service: ServiceId
     candidates: list[NodeIp]
+    until: float
     asked: int = 0
     refused: int = 0
+    full: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -48,12 +59,13 @@
     count: Count
     record: Record
     waiting: dict[FlowTuple, Opening] = field(default_factory=dict)
+    parked: dict[FlowTuple, Opening] = field(default_factory=dict)
     timers: Timers[FlowTuple] = field(default_factory=Timers)
 
     def packet_in(self, packet: Packet, shares: list[Share], *, now: float) -> None:
         """Takes an opening packet or a copy of one."""
         flow = packet.flow
-        if flow in self.waiting:
+        if flow in self.waiting or flow in self.parked:
             return
         holder = self.holders.accepted_by(flow) if packet.copies else None
         if holder is not None and not self._lost(holder, now=now):
@@ -62,28 +74,48 @@
         if not packet.copies:
             self.holders.forget(flow)
         service = pick_service(shares, flow)
-        candidates = (
-            []
-            if service is None
-            else self.directory.candidates(service, flow, width=CANDIDATES, now=now)
-        )
-        if service is None or not candidates:
+        if service is None:
             self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
             return
-        if holder is not None and holder.node in candidates[1:]:
-            candidates.remove(holder.node)
-            candidates.append(holder.node)
-        self.waiting[flow] = Opening(packet, service, candidates)
+        avoid = None if holder is None else holder.node
+        self._place(packet, service, now=now, avoid=avoid)
+
+    def _place(
+        self,
+        packet: Packet,
+        service: ServiceId,
+        *,
+        now: float,
+        avoid: NodeIp | None = None,
+        until: float | None = None,
+    ) -> None:
+        """Asks the best agent, or keeps the packet if there is none.
+
+        Args:
+            packet: The opening packet.
+            service: Service of the new flow.
+            now: Time in seconds.
+            avoid: Agent that accepted the flow before and is lost; asked last.
+            until: End of the packet's wait for an upstream, if it waited.
+        """
+        flow = packet.flow
+        candidates = self.directory.candidates(service, flow, width=CANDIDATES, now=now)
+        candidates.sort(key=lambda node: node == avoid)
+        opening = Opening(packet, service, candidates, until or now + PARK_S)
+        if not candidates:
+            self._park(opening, now=now)
+            return
+        self.waiting[flow] = opening
         self._ask_next(flow, now=now)
 
-    def placed(self, node: NodeIp, message: Placed) -> None:
+    def placed(self, node: NodeIp, message: Placed, *, now: float) -> None:
         """Takes an agent's acceptance."""
         if self.waiting.pop(message.flow, None) is not None:
             self.timers.cancel(message.flow)
         entry = self.directory.entries.get(node)
         if entry is not None:
             entry.load = message.load
-            self.directory.answered(node)
+            self.directory.answered(node, now=now)
         holder = Holder(node, message.lifetime, message.first_sequence)
         self.holders.accepted(message.flow, holder)
 
@@ -93,27 +125,36 @@
         entry = self.directory.entries.get(node)
         if entry is not None:
             entry.load = message.load
-            self.directory.answered(node)
+            self.directory.answered(node, now=now)
             if message.kind is not ErrorKind.QUEUE_FULL:
-                self.directory.silent(node, now=now)
+                self.directory.refused(node, now=now)
         self.holders.forget(message.flow, node)
         opening = self.waiting.get(message.flow)
         if opening is None:
             return
         opening.refused += 1
+        opening.full = opening.full or message.kind is ErrorKind.QUEUE_FULL
         if opening.candidates[opening.asked - 1] == node:
             self._ask_next(message.flow, now=now)
 
+    def upstream_ready(self, service: ServiceId, *, now: float) -> None:
+        """Places the opening packets that waited for a service's upstream."""
+        flows = [flow for flow, wait in self.parked.items() if wait.service == service]
+        for flow in flows:
+            self.timers.cancel(flow)
+            self._unpark(flow, now=now)
+
     def wake(self, *, now: float) -> None:
         """Asks other agents in place of those that did not answer."""
         for flow in self.timers.pop_due(now):
             opening = self.waiting.get(flow)
             if opening is None:
+                self._unpark(flow, now=now)
                 continue
             node = opening.candidates[opening.asked - 1]
             self.directory.silent(node, now=now)
             self.count(counter_name(ErrorKind.AGENT_SILENT, action="retried"))
-            self.record("opening_retried", flow=flow, node=node, asked=opening.asked)
+            self.record("opening_retried", flow=flow, agent=node, asked=opening.asked)
             self._ask_next(flow, now=now)
 
     def _ask_next(self, flow: FlowTuple, *, now: float) -> None:
@@ -121,8 +162,10 @@
         if opening.asked >= min(len(opening.candidates), MAX_OPENING_TRIES):
             del self.waiting[flow]
             self.timers.cancel(flow)
-            if opening.refused >= opening.asked:
+            if opening.full:
                 self._refuse(opening.packet, ErrorKind.BUSY, service=opening.service)
+            elif opening.refused >= opening.asked:
+                self._park(opening, now=now)
             return
         node = opening.candidates[opening.asked]
         opening.asked += 1
@@ -131,6 +174,28 @@
         forward = Forward(opening.service, False, Lifetime(0), opening.packet.datagram)
         self.send(node, forward)
 
+    def _park(self, opening: Opening, *, now: float) -> None:
+        """Keeps an opening packet until an upstream is ready, for some time.
+
+        If no upstream can become ready, the flow is refused at once.
+        """
+        service = opening.service
+        hopeless = len(self.parked) >= MAX_PARKED or not self.directory.expects(service)
+        if hopeless or now >= opening.until:
+            self._refuse(opening.packet, ErrorKind.NO_UPSTREAM, service=service)
+            return
+        self.count("parked")
+        flow = opening.packet.flow
+        self.parked[flow] = opening
+        self.timers.set(flow, min(opening.until, now + PARK_RETRY_S))
+
+    def _unpark(self, flow: FlowTuple, *, now: float) -> None:
+        """Tries a parked packet again."""
+        opening = self.parked.pop(flow, None)
+        if opening is not None:
+            service, until = opening.service, opening.until
+            self._place(opening.packet, service, now=now, until=until)
+
     def _lost(self, holder: Holder, *, now: float) -> bool:
         entry = self.directory.entries.get(holder.node)
         return entry is None or entry.suspect_until > now
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -73,8 +73,7 @@
     """What a balancer takes from the store.
 
     Attributes:
-        routes_changed: Called when a newer configuration is in force.
-        upstreams_changed: Called when an upstream changed.
+        announced: Takes an announcement; see ``Balancer.announced``.
     """
 
     store: Store
@@ -82,6 +81,7 @@
     random_source: random.Random
     routes: Routes
     directory: Directory
+    announced: Callable[..., bool]
     spread: Spread
     count: Count
     record: Record
@@ -98,7 +98,10 @@
                 poll_s=self.poll_interval_s,
             ),
             self._watch(
-                Kind.UPSTREAMS, self._upstreams_listed, self._upstreams_changed
+                Kind.UPSTREAMS,
+                self._upstreams_listed,
+                self._upstreams_changed,
+                on_lost=self._upstreams_lost,
             ),
             self._watch(
                 Kind.BALANCERS, self._balancers_listed, self._balancers_changed
@@ -140,6 +143,7 @@
         changed: Callable[[Changes], None],
         *,
         poll_s: Callable[[], float] | None = None,
+        on_lost: Callable[[], None] = lambda: None,
     ) -> KindWatch:
         return KindWatch(
             kind=kind,
@@ -151,6 +155,7 @@
             count=self.count,
             record=self.record,
             poll_s=poll_s,
+            on_lost=on_lost,
         )
 
     # Configuration.
@@ -178,6 +183,10 @@
         for node in self.listed_names - names:
             self.directory.removed(node)
         self.listed_names = names
+        self.directory.complete = True
+
+    def _upstreams_lost(self) -> None:
+        self.directory.complete = False
 
     def _upstreams_changed(self, changes: Changes) -> None:
         for change in changes.changes:
@@ -185,7 +194,7 @@
             if change.removed:
                 self.listed_names.discard(node)
                 if self.directory.removed(node):
-                    self.record("upstream_removed", node=node)
+                    self.record("upstream_removed", agent=node)
             else:
                 self.listed_names.add(node)
                 self._take_upstream(change.object)
@@ -198,16 +207,7 @@
             self.count("store.upstreams.foreign")
             return
         now = self.clock.seconds()
-        if self.directory.apply(announcement, now=now, heard=False):
-            self.record(
-                "upstream_changed",
-                node=announcement.node,
-                service=announcement.service,
-                upstream=announcement.upstream,
-                state=announcement.state.value,
-                lifetime=announcement.lifetime,
-                source="store",
-            )
+        self.announced(announcement, now=now, source="store")
 
     # Balancers.
 
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -34,8 +34,10 @@
 class UpstreamView:
     """The newest report and what followed from it.
 
-    An agent that has just started knows nothing and takes no new flow before
-    the first report: the upstream may have drained under an earlier process.
+    An agent that has just started takes no new flow before the first report,
+    because the upstream may have drained under an earlier process, unless the
+    stored entry says that it has not: a drain is stored before it is
+    acknowledged.
 
     Attributes:
         reported_at: When the last report arrived, in seconds.
@@ -43,6 +45,7 @@
         ended: True if the upstream has said that it is gone.
         fresh: True if no earlier process can have opened flows at it.
         floor: Lifetime and sequence of a report that an earlier process took.
+        recalled_ready: True if the upstream was ready then.
     """
 
     report_interval_s: float
@@ -52,10 +55,12 @@
     ended: bool = False
     fresh: bool = False
     floor: tuple[int, int] = (0, 0)
+    recalled_ready: bool = False
 
-    def recall(self, lifetime: Lifetime, sequence: int) -> None:
-        """Takes the newest report that an earlier process stored."""
+    def recall(self, lifetime: Lifetime, sequence: int, state: UpstreamState) -> None:
+        """Takes what an earlier process stored of the upstream."""
         self.floor = (lifetime, sequence)
+        self.recalled_ready = state is UpstreamState.READY
 
     def take(self, report: Report, *, now: float) -> bool:
         """Takes a report; returns False if a later one is known."""
@@ -84,9 +89,10 @@
         return Lifetime(0) if self.report is None else self.report.lifetime
 
     def state(self, *, now: float) -> UpstreamState | None:
-        """Returns the state, or None before the first report."""
+        """Returns the state, or None if nothing is known."""
         if self.report is None:
-            return None
+            ready = self.recalled_ready and not self.suspected
+            return UpstreamState.READY if ready else None
         if self.ended:
             return UpstreamState.GONE
         if self.report.draining:
--- a/src/bramleydyke/platform/endpoints.py
+++ b/src/bramleydyke/platform/endpoints.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from bramleydyke.adapters.http_server import Handler, HttpReply
+from bramleydyke.adapters.http_server import Handler, HttpReply, LaterReply
 from bramleydyke.direct.ports import Count, Record
 from bramleydyke.direct.upstream_view import Report
 from bramleydyke.platform.reports import read_report
@@ -13,6 +13,9 @@
 READY_PATH = "/readiness"
 REPORT_PREFIX = "/instances/"
 
+_ACKNOWLEDGED = HttpReply(200, b"{}")
+_NOT_TAKEN = HttpReply(421)
+
 
 def readiness(ready: Callable[[], bool]) -> Handler:
     """Returns the handler of the routers' readiness check."""
@@ -26,7 +29,7 @@
 
 
 def reports(
-    report: Callable[[Report], bool],
+    report: Callable[[Report, Callable[[bool], None]], None],
     left: Callable[[UpstreamId], None],
     *,
     count: Count,
@@ -35,13 +38,13 @@
     """Returns the handler of upstreams' liveness reports.
 
     Args:
-        report: Takes a report; returns True to acknowledge it.
+        report: Takes a report and a function that acknowledges it.
         left: Takes an upstream's word that it is gone.
         count: Counts unreadable reports.
         record: Logs unreadable reports.
     """
 
-    def handle(method: str, path: str, body: bytes) -> HttpReply:
+    def handle(method: str, path: str, body: bytes) -> HttpReply | LaterReply:
         upstream = path.removeprefix(REPORT_PREFIX)
         if upstream == path or not upstream:
             return HttpReply(404)
@@ -56,7 +59,9 @@
             count("reports.unreadable")
             record("report_unreadable", upstream=upstream, error=str(error))
             return HttpReply(400)
-        return HttpReply(200, b"{}") if report(read) else HttpReply(421)
+        answer: LaterReply = LaterReply()
+        report(read, lambda taken: answer(_ACKNOWLEDGED if taken else _NOT_TAKEN))
+        return answer
 
     return handle
 
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -87,12 +87,13 @@
     """Calls to the store over HTTP.
 
     Attributes:
-        base_url: Where the store answers.
+        endpoint: Where the store answers.
+        newest_manifest: Revision and routes of the manifest read last.
     """
 
     def __init__(self, *, calls: HttpCalls, endpoint: str, count: Count) -> None:
         self.calls = calls
-        self.base_url = f"http://{endpoint}/objects"
+        self.endpoint = endpoint
         self.count = count
         self.newest_manifest: tuple[int, Any] = (0, None)
 
@@ -184,8 +185,14 @@
         body: bytes | None = None,
     ) -> None:
         self.count("store.calls")
-        url = f"{self.base_url}/{path}"
-        self.calls.call(method, url, timeout_s=timeout_s, done=done, body=body)
+        self.calls.call(
+            method,
+            self.endpoint,
+            f"/objects/{path}",
+            timeout_s=timeout_s,
+            done=done,
+            body=body,
+        )
 
     def _decode(self, status: int | None, body: bytes, form: Any, reply: Reply) -> Any:
         result = _status(status)
--- a/src/bramleydyke/ports.py
+++ b/src/bramleydyke/ports.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, TypeAlias
 
-from bramleydyke.core.members import Members
-from bramleydyke.messages import Envelope, Payload
 from bramleydyke.types import NodeId
 
+if TYPE_CHECKING:
+    from bramleydyke.core.members import Members
+    from bramleydyke.messages import Envelope, Payload
+
 
 class Facade(Protocol):
     """A role without input or output: ``Balancer`` or ``Agent``."""
@@ -54,14 +56,14 @@
         """Makes a call after a delay in seconds."""
 
 
-LocalPort = Callable[[Payload], None]
+LocalPort: TypeAlias = "Callable[[Payload], None]"
 """Takes a message that a role sends to one of its local ports."""
 
-Deliver = Callable[[NodeId, Payload], None]
+Deliver: TypeAlias = "Callable[[NodeId, Payload], None]"
 """Hands a message from a local port, which is named first, to the role."""
 
 Counter = Callable[..., None]
 """Adds to a counter: ``count(name)`` or ``count(name, amount)``."""
 
-SendRemote = Callable[[Envelope], None]
+SendRemote: TypeAlias = "Callable[[Envelope], None]"
 """Sends a message to another node; it may be lost."""
