Admit flows by the requests that wait at their upstream

Cause: after a restart all parked flows went to the first upstream that was ready, whose queue shed them.

Change: agents count requests without a response and refuse new flows above four for each slot; balancers hold the opening packets and place the most urgent and newest first when an agent has room.

--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -14,7 +15,10 @@
 from bramleydyke.direct.constants import (
     ANNOUNCE_FANOUT,
     ANNOUNCE_INTERVAL_S,
+    BUSY_PER_SLOT,
+    COLD_FACTOR,
     FLOW_IDLE_S,
+    MAX_PROBES,
     UPSTREAM_SILENT_S,
 )
 from bramleydyke.direct.holders import acknowledges
@@ -22,6 +26,7 @@
     Absent,
     Announcement,
     Forward,
+    Load,
     Missing,
     Placed,
     Refused,
@@ -70,6 +75,7 @@
         started_at: Start of this process, in seconds.
         probes: Packets whose flows the upstream may hold from earlier.
         balancers: Balancers that may be told of the upstream.
+        turned_away: Balancers that were refused because it was busy.
         pausing: True once this process is about to stop.
     """
 
@@ -88,6 +94,7 @@
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
     unanswered: Timers[FlowTuple] = field(default_factory=Timers)
     balancers: dict[NodeIp, None] = field(default_factory=dict)
+    turned_away: OrderedDict[NodeIp, None] = field(default_factory=OrderedDict)
     pausing: bool = False
     revision: int = 0
     announced: UpstreamState | None = None
@@ -126,15 +133,18 @@
             if packet.copies or flow.first_sequence is None:
                 flow.balancer = sender
                 self._hand_over(packet)
-                self._tell_placed(key, flow)
+                self._tell_placed(key, flow, now=now)
                 return
         kind = self._refusal(message.service, now=now)
         if kind is not None:
             self.count(counter_name(kind))
-            self.send(sender, Refused(key, kind, float(self.flows.load)))
+            if kind is ErrorKind.BUSY:
+                self.turned_away[sender] = None
+            self.send(sender, Refused(key, kind, self.load(now=now)))
             return
         flow = UpstreamFlow(sender, self.view.lifetime, now, asked_at=now)
         self.flows.add(key, flow)
+        self.flows.requested(key, now=now)
         self.unanswered.set(key, now + UPSTREAM_SILENT_S)
         self._hand_over(packet)
 
@@ -144,7 +154,16 @@
             return ErrorKind.WRONG_SERVICE
         if self.pausing:
             return ErrorKind.DRAINING
-        return REFUSALS.get(self.view.state(now=now))
+        kind = REFUSALS.get(self.view.state(now=now))
+        if kind is None and self.load(now=now).requests >= BUSY_PER_SLOT:
+            return ErrorKind.BUSY
+        return kind
+
+    def load(self, *, now: float) -> Load:
+        """Returns how busy the upstream is."""
+        self.flows.expire_requests(now=now)
+        factor = COLD_FACTOR if self.view.cold(now=now) else 1.0
+        return self.flows.load(self.view.slots, factor=factor)
 
     def _established(
         self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
@@ -166,12 +185,14 @@
                 return
             flow.open = True
         flow.balancer = sender
+        if packet.payload_bytes:
+            self.flows.requested(key, now=now)
         if packet.finish:
             self.flows.finish(flow, caller=True)
         if packet.reset:
             self.flows.end(flow)
         if message.seek:
-            self.send(sender, Placed(key, flow.lifetime, None, float(self.flows.load)))
+            self.send(sender, Placed(key, flow.lifetime, None, self.load(now=now)))
         self._hand_over(packet)
 
     def _unknown(
@@ -222,11 +243,11 @@
         if packet is None:
             self.count(counter_name(ErrorKind.BAD_FRAME))
         elif packet.bounced:
-            self._bounced(packet)
+            self._bounced(packet, now=now)
         else:
             self._answer(packet, now=now)
 
-    def _bounced(self, packet: Packet) -> None:
+    def _bounced(self, packet: Packet, *, now: float) -> None:
         """Handles a packet that the upstream gave back."""
         key = packet.flow
         flow = self.flows.flows.get(key)
@@ -237,7 +258,7 @@
             self.flows.remove(key)
             self.unanswered.cancel(key)
             self.count(counter_name(ErrorKind.QUEUE_FULL))
-            refused = Refused(key, ErrorKind.QUEUE_FULL, float(self.flows.load))
+            refused = Refused(key, ErrorKind.QUEUE_FULL, self.load(now=now))
             self.send(flow.balancer, refused)
             return
         probe = self.probes.pop(key, None)
@@ -263,13 +284,25 @@
             self.unanswered.cancel(key)
             flow.asked_at = None
             flow.first_sequence = packet.sequence
-            self._tell_placed(key, flow)
+            self._tell_placed(key, flow, now=now)
         if packet.finish:
             self.flows.finish(flow, caller=False)
         if packet.reset:
             self.flows.end(flow)
+        if packet.payload_bytes or packet.finish or packet.reset:
+            self._responded(key, now=now)
         self.send_to_caller(packet, packet.datagram)
 
+    def _responded(self, key: FlowTuple, *, now: float) -> None:
+        """Tells a balancer that was turned away that there is room."""
+        if not self.flows.responded(key) or not self.turned_away:
+            return
+        if self.load(now=now).requests < BUSY_PER_SLOT:
+            balancer, _ = self.turned_away.popitem(last=False)
+            announcement = self.announcement(now=now)
+            if announcement is not None:
+                self.send(balancer, announcement)
+
     def _learn(self, key: FlowTuple, packet: Packet, *, now: float) -> UpstreamFlow:
         """Notes a flow that the upstream holds from before this process."""
         probe = self.probes.pop(key, None)
@@ -278,14 +311,14 @@
         if probe is not None:
             flow.balancer = probe.balancer
             if probe.seek:
-                self._tell_placed(key, flow)
+                self._tell_placed(key, flow, now=now)
         return flow
 
-    def _tell_placed(self, key: FlowTuple, flow: UpstreamFlow) -> None:
+    def _tell_placed(self, key: FlowTuple, flow: UpstreamFlow, *, now: float) -> None:
         if flow.balancer is None or (flow.first_sequence is None and not flow.open):
             return
         first = None if flow.open else flow.first_sequence
-        placed = Placed(key, flow.lifetime, first, float(self.flows.load))
+        placed = Placed(key, flow.lifetime, first, self.load(now=now))
         self.send(flow.balancer, placed)
 
     # The upstream's reports.
@@ -326,12 +359,16 @@
             sequence=report.sequence,
             revision=self.revision,
             state=state,
-            load=float(self.flows.load),
+            load=self.load(now=now),
+            slots=self.view.slots,
         )
 
     def announce(self, *, now: float) -> None:
         """Tells balancers of the upstream's state."""
         self.announce_at = now + ANNOUNCE_INTERVAL_S
+        self.flows.expire(now=now)
+        if len(self.probes) > MAX_PROBES:
+            self.probes.clear()
         self.revision += 1
         announcement = self.announcement(now=now)
         if announcement is None:
@@ -385,7 +422,4 @@
         for key in silent:
             self.flows.remove(key)
         if now >= self.announce_at:
-            self.flows.expire(now=now)
-            if len(self.probes) > self.flows.load + ANNOUNCE_FANOUT:
-                self.probes.clear()
             self.announce(now=now)
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
-from bramleydyke.direct.constants import FRESH_CONFIG_S
+from bramleydyke.direct.constants import BUSY_PER_SLOT, FRESH_CONFIG_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holders
 from bramleydyke.direct.lookups import Lookups
@@ -72,11 +73,11 @@
         if packet is None or packet.accepting:
             self.count(counter_name(ErrorKind.BAD_FRAME))
             return
-        shares = self.routes.shares(packet.route)
-        if shares is None:
+        route = self.routes.find(packet.route)
+        if route is None:
             self._without_route(packet, now=now)
         elif packet.opening:
-            self.openings.packet_in(packet, shares, now=now)
+            self.openings.packet_in(packet, route, now=now)
         else:
             self._established(packet, now=now)
 
@@ -156,7 +157,7 @@
         self.count(counter_name(ErrorKind.MOVED, action="retried"))
         self.holders.forget(message.flow, sender)
         packet = self.codec.from_caller(message.datagram)
-        if packet is not None and self.routes.shares(packet.route) is not None:
+        if packet is not None and self.routes.find(packet.route) is not None:
             self._established(packet, now=now)
 
     def _without_route(self, packet: Packet, *, now: float) -> None:
@@ -186,7 +187,12 @@
             source: ``agent``, ``store`` or the balancer that passed it on.
         """
         heard = source == "agent"
-        if not self.directory.apply(announcement, now=now, heard=heard):
+        changed = self.directory.apply(announcement, now=now, heard=heard)
+        if announcement.state is UpstreamState.READY and (heard or changed):
+            room = BUSY_PER_SLOT - announcement.load.requests
+            flows = math.ceil(room * announcement.slots)
+            self.openings.room(announcement.service, flows=max(0, flows), now=now)
+        if not changed:
             return False
         self.record(
             "upstream_changed",
@@ -198,6 +204,4 @@
             sequence=announcement.sequence,
             source=source,
         )
-        if announcement.state is UpstreamState.READY:
-            self.openings.upstream_ready(announcement.service, now=now)
         return True
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -11,6 +11,34 @@
 only after 200 ms.
 """
 
+BUSY_PER_SLOT = 4
+"""Requests for each slot of an upstream above which it takes no new flow.
+
+With 15 to 30 ms of work a request, the last one waits for about 100 ms, which
+is what callers expect; longer queues only make all of them late.
+"""
+
+OPEN_FLOW_LOAD = 0.1
+"""Load of an open flow without a request, relative to one with a request.
+
+Long flows send few requests, but they cannot be moved later.
+"""
+
+COLD_FACTOR = 1.6
+"""How much slower an upstream is just after its start."""
+
+BUSY_DECAY_S = 0.2
+"""Age at which a reported number of requests says nothing any more."""
+
+BUSY_LIMIT_S = 3.0
+"""Time after which a request without a response is no longer counted."""
+
+OPENING_LIMIT_S = 0.3
+"""Time for which a flow that is not open yet counts as a request.
+
+Callers that still want it answer the upstream within a round trip.
+"""
+
 MAX_OPENING_TRIES = 5
 """Agents that are asked for one opening packet."""
 
@@ -58,6 +86,9 @@
 MAX_ABSENT = 20_000
 """Flows that an agent remembers not to hold."""
 
+MAX_PROBES = 1_000
+"""Packets that an agent tries at its upstream before it forgets them."""
+
 FLOW_IDLE_S = 60.0
 """Idle time after which a flow is forgotten; callers keep none for longer."""
 
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -6,12 +6,14 @@
 
 from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.direct.constants import (
+    BUSY_DECAY_S,
+    BUSY_PER_SLOT,
     DEAD_AGENT_FAILURES,
     DEAD_AGENT_S,
     MAX_SUSPECT_S,
     SUSPECT_S,
 )
-from bramleydyke.direct.messages import Announcement
+from bramleydyke.direct.messages import Announcement, Load
 from bramleydyke.direct.types import FlowTuple, NodeIp, UpstreamState
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
@@ -22,15 +24,17 @@
 
     Attributes:
         announcement: Newest announcement of the upstream.
-        load: Open flows there, as last reported, plus those sent since.
+        load: Load as last reported, plus the flows that were sent since.
+        load_at: When ``load`` was told or last raised.
         heard_at: When the agent was last heard, or the entry was added.
         suspect_until: No new flow is sent there before this time.
         failures: Times in a row that its agent did not answer.
     """
 
     announcement: Announcement
-    load: float
+    load: Load
     heard_at: float
+    load_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
 
@@ -73,8 +77,7 @@
             return True
         entry.announcement = announcement
         if heard:
-            entry.load = announcement.load
-            self.answered(announcement.node, now=now)
+            self.answered(announcement.node, now=now, load=announcement.load)
         return (old.state, old.lifetime) != (announcement.state, announcement.lifetime)
 
     def _insert(self, announcement: Announcement, *, now: float) -> None:
@@ -90,11 +93,14 @@
         entry.announcement = _with_state(entry.announcement, UpstreamState.GONE)
         return True
 
-    def answered(self, node: NodeIp, *, now: float) -> None:
-        """Notes an answer of an agent."""
+    def answered(self, node: NodeIp, *, now: float, load: Load | None = None) -> None:
+        """Notes an answer of an agent, and the load that it told."""
         entry = self.entries.get(node)
         if entry is not None:
             entry.heard_at = now
+            if load is not None:
+                entry.load = load
+                entry.load_at = now
             entry.failures = 0
             entry.suspect_until = 0.0
 
@@ -135,7 +141,8 @@
 
         The first ``width`` upstreams of the flow's owner order are put in
         order of their load, so that a lookup finds the holder among few.
-        Upstreams whose agents did not answer come last.
+        Upstreams that are full, and then those whose agents did not answer,
+        come last.
         """
         order = self.owners(service, flow)
         ready = [
@@ -143,14 +150,36 @@
             for node in order
             if self.entries[node].announcement.state is UpstreamState.READY
         ]
-        usable = [node for node in ready if self.entries[node].suspect_until <= now]
         suspect = [node for node in ready if self.entries[node].suspect_until > now]
-        first = sorted(usable[:width], key=self._rank)
-        return first + usable[width:] + suspect
+        usable = [node for node in ready if self.entries[node].suspect_until <= now]
+        full = [node for node in usable if self._requests(node, now) >= BUSY_PER_SLOT]
+        free = [node for node in usable if self._requests(node, now) < BUSY_PER_SLOT]
+        first = sorted(free[:width], key=self._rank)
+        return first + free[width:] + full + suspect
+
+    def free(self, candidates: list[NodeIp], *, now: float) -> bool:
+        """Tells whether the first candidate has room, as far as known."""
+        entry = self.entries[candidates[0]]
+        room = self._requests(candidates[0], now) < BUSY_PER_SLOT
+        return room and entry.suspect_until <= now
+
+    def sent(self, node: NodeIp, *, now: float) -> None:
+        """Adds a new flow to an upstream's load until its agent tells it."""
+        entry = self.entries[node]
+        share = 1 / entry.announcement.slots
+        requests = self._requests(node, now) + share
+        entry.load = Load(requests, entry.load.total + share)
+        entry.load_at = now
+
+    def _requests(self, node: NodeIp, now: float) -> float:
+        """Returns the estimated requests for each slot; they end quickly."""
+        entry = self.entries[node]
+        age = now - entry.load_at
+        return entry.load.requests * max(0.0, 1 - age / BUSY_DECAY_S)
 
     def _rank(self, node: NodeIp) -> tuple[float, bool]:
         entry = self.entries[node]
-        return entry.load, entry.announcement.zone != self.zone
+        return entry.load.total, entry.announcement.zone != self.zone
 
     def owners(self, service: ServiceId, flow: FlowTuple) -> list[NodeIp]:
         """Returns the agents that may hold a flow, the likeliest first."""
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -36,6 +36,16 @@
     """True if an agent that does not know the flow may try its upstream."""
 
 
+class Load(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """How busy an upstream is, for each of its slots."""
+
+    requests: float = 0.0
+    """Requests that have no response yet."""
+
+    total: float = 0.0
+    """The same, with a small part for each open flow."""
+
+
 class Placed(Message, tag=2):
     """Agent to balancer: the upstream holds a flow or is opening it."""
 
@@ -44,7 +54,7 @@
     first_sequence: int | None
     """Sequence of the upstream's answer; None once the flow is open."""
 
-    load: float
+    load: Load
 
 
 class Refused(Message, tag=3):
@@ -52,7 +62,7 @@
 
     flow: FlowTuple
     kind: ErrorKind
-    load: float
+    load: Load
 
 
 class Missing(Message, tag=4):
@@ -83,7 +93,8 @@
     """Number of the agent's announcement for that report."""
 
     state: UpstreamState
-    load: float = 0.0
+    load: Load = Load()
+    slots: int = 1
 
     def order(self) -> tuple[int, int, int]:
         """Returns what later announcements have larger."""
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -17,11 +17,14 @@
 from bramleydyke.direct.holders import Holder, Holders
 from bramleydyke.direct.messages import Forward, Placed, Refused
 from bramleydyke.direct.ports import Count, Record, Send, SendToCaller
-from bramleydyke.direct.routes import Share, pick_service
+from bramleydyke.direct.routes import Route, pick_service
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import ServiceId
 
+FULL = frozenset({ErrorKind.BUSY, ErrorKind.QUEUE_FULL})
+"""Refusals of upstreams that have room again after a few requests."""
+
 
 @dataclass(slots=True)
 class Opening:
@@ -29,19 +32,17 @@
 
     Attributes:
         candidates: Agents to ask, the best one first.
+        priority: Priority of its route; 0 is the most urgent.
         until: End of its wait for an upstream, in seconds.
         asked: Number of them that have been asked.
-        refused: Number of them that have refused.
-        full: True if one of them refused because its upstream was full.
     """
 
     packet: Packet
     service: ServiceId
     candidates: list[NodeIp]
     until: float
+    priority: int
     asked: int = 0
-    refused: int = 0
-    full: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -62,49 +63,47 @@
     parked: dict[FlowTuple, Opening] = field(default_factory=dict)
     timers: Timers[FlowTuple] = field(default_factory=Timers)
 
-    def packet_in(self, packet: Packet, shares: list[Share], *, now: float) -> None:
+    def packet_in(self, packet: Packet, route: Route, *, now: float) -> None:
         """Takes an opening packet or a copy of one."""
         flow = packet.flow
         if flow in self.waiting or flow in self.parked:
             return
         holder = self.holders.accepted_by(flow) if packet.copies else None
         if holder is not None and not self._lost(holder, now=now):
-            self.send(holder.node, self._forward(packet, shares, flow))
+            self.send(holder.node, self._forward(packet, route, flow))
             return
         if not packet.copies:
             self.holders.forget(flow)
-        service = pick_service(shares, flow)
+        service = pick_service(route.shares, flow)
         if service is None:
             self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
             return
         avoid = None if holder is None else holder.node
-        self._place(packet, service, now=now, avoid=avoid)
+        opening = Opening(packet, service, [], now + PARK_S, route.priority)
+        self._place(opening, now=now, avoid=avoid)
 
     def _place(
-        self,
-        packet: Packet,
-        service: ServiceId,
-        *,
-        now: float,
-        avoid: NodeIp | None = None,
-        until: float | None = None,
+        self, opening: Opening, *, now: float, avoid: NodeIp | None = None
     ) -> None:
         """Asks the best agent, or keeps the packet if there is none.
 
         Args:
-            packet: The opening packet.
-            service: Service of the new flow.
+            opening: The opening packet.
             now: Time in seconds.
             avoid: Agent that accepted the flow before and is lost; asked last.
-            until: End of the packet's wait for an upstream, if it waited.
         """
-        flow = packet.flow
-        candidates = self.directory.candidates(service, flow, width=CANDIDATES, now=now)
+        flow = opening.packet.flow
+        candidates = self.directory.candidates(
+            opening.service, flow, width=CANDIDATES, now=now
+        )
         candidates.sort(key=lambda node: node == avoid)
-        opening = Opening(packet, service, candidates, until or now + PARK_S)
-        if not candidates:
+        # Agents that are full or silent are worth one question only.
+        again = bool(opening.candidates)
+        if not candidates or (again and not self.directory.free(candidates, now=now)):
             self._park(opening, now=now)
             return
+        opening.candidates = candidates
+        opening.asked = 0
         self.waiting[flow] = opening
         self._ask_next(flow, now=now)
 
@@ -112,37 +111,39 @@
         """Takes an agent's acceptance."""
         if self.waiting.pop(message.flow, None) is not None:
             self.timers.cancel(message.flow)
-        entry = self.directory.entries.get(node)
-        if entry is not None:
-            entry.load = message.load
-            self.directory.answered(node, now=now)
+        self.directory.answered(node, now=now, load=message.load)
         holder = Holder(node, message.lifetime, message.first_sequence)
         self.holders.accepted(message.flow, holder)
 
     def refused(self, node: NodeIp, message: Refused, *, now: float) -> None:
         """Takes an agent's refusal and asks the next one."""
         self.count(counter_name(message.kind, action="retried"))
-        entry = self.directory.entries.get(node)
-        if entry is not None:
-            entry.load = message.load
-            self.directory.answered(node, now=now)
-            if message.kind is not ErrorKind.QUEUE_FULL:
-                self.directory.refused(node, now=now)
+        self.directory.answered(node, now=now, load=message.load)
+        if message.kind not in FULL:
+            self.directory.refused(node, now=now)
         self.holders.forget(message.flow, node)
         opening = self.waiting.get(message.flow)
         if opening is None:
             return
-        opening.refused += 1
-        opening.full = opening.full or message.kind is ErrorKind.QUEUE_FULL
         if opening.candidates[opening.asked - 1] == node:
             self._ask_next(message.flow, now=now)
 
-    def upstream_ready(self, service: ServiceId, *, now: float) -> None:
-        """Places the opening packets that waited for a service's upstream."""
-        flows = [flow for flow, wait in self.parked.items() if wait.service == service]
-        for flow in flows:
-            self.timers.cancel(flow)
-            self._unpark(flow, now=now)
+    def room(self, service: ServiceId, *, flows: int, now: float) -> None:
+        """Places opening packets that wait for a service's upstreams.
+
+        The most urgent come first, and of those the newest: it can still be
+        answered in time, while the oldest are late in any case.
+
+        Args:
+            service: The service.
+            flows: Number of flows to place.
+            now: Time in seconds.
+        """
+        waiting = [o for o in self.parked.values() if o.service == service]
+        waiting.sort(key=lambda o: (o.priority, -o.until))
+        for opening in waiting[:flows]:
+            self.timers.cancel(opening.packet.flow)
+            self._unpark(opening.packet.flow, now=now)
 
     def wake(self, *, now: float) -> None:
         """Asks other agents in place of those that did not answer."""
@@ -162,14 +163,11 @@
         if opening.asked >= min(len(opening.candidates), MAX_OPENING_TRIES):
             del self.waiting[flow]
             self.timers.cancel(flow)
-            if opening.full:
-                self._refuse(opening.packet, ErrorKind.BUSY, service=opening.service)
-            elif opening.refused >= opening.asked:
-                self._park(opening, now=now)
+            self._park(opening, now=now)
             return
         node = opening.candidates[opening.asked]
         opening.asked += 1
-        self.directory.entries[node].load += 1
+        self.directory.sent(node, now=now)
         self.timers.set(flow, now + OPENING_RETRY_S)
         forward = Forward(opening.service, False, Lifetime(0), opening.packet.datagram)
         self.send(node, forward)
@@ -193,15 +191,14 @@
         """Tries a parked packet again."""
         opening = self.parked.pop(flow, None)
         if opening is not None:
-            service, until = opening.service, opening.until
-            self._place(opening.packet, service, now=now, until=until)
+            self._place(opening, now=now)
 
     def _lost(self, holder: Holder, *, now: float) -> bool:
         entry = self.directory.entries.get(holder.node)
         return entry is None or entry.suspect_until > now
 
-    def _forward(self, packet: Packet, shares: list[Share], flow: FlowTuple) -> Forward:
-        service = pick_service(shares, flow) or ServiceId("")
+    def _forward(self, packet: Packet, route: Route, flow: FlowTuple) -> Forward:
+        service = pick_service(route.shares, flow) or ServiceId("")
         return Forward(service, False, Lifetime(0), packet.datagram)
 
     def _refuse(
--- a/src/bramleydyke/direct/routes.py
+++ b/src/bramleydyke/direct/routes.py
@@ -19,11 +19,19 @@
     weight: float
 
 
+class Route(msgspec.Struct, array_like=True, frozen=True):
+    """Where the flows of one address go."""
+
+    shares: list[Share]
+    priority: int = 0
+    """0 is the most urgent."""
+
+
 class RouteSet(msgspec.Struct, array_like=True, frozen=True):
     """One version of the configuration, as it is spread and kept."""
 
     version: ConfigVersion
-    routes: dict[RouteAddress, list[Share]]
+    routes: dict[RouteAddress, Route]
     services: list[ServiceId]
 
 
@@ -66,10 +74,10 @@
         if self.current is not None and routes.version <= self.current.version:
             return False
         old = {} if self.current is None else self.current.routes
-        for address, shares in old.items():
-            names = {share.service for share in shares}
+        for address, route in old.items():
+            names = {share.service for share in route.shares}
             if address in routes.routes:
-                now = {share.service for share in routes.routes[address]}
+                now = {share.service for share in routes.routes[address].shares}
                 if names != now:
                     self.earlier.setdefault(address, set()).update(names)
             else:
@@ -81,13 +89,14 @@
         """Notes that the store holds nothing newer."""
         self.confirmed_at = now
 
-    def shares(self, address: RouteAddress) -> list[Share] | None:
-        """Returns the services of an address, or None if it has no route."""
+    def find(self, address: RouteAddress) -> Route | None:
+        """Returns the route of an address."""
         return None if self.current is None else self.current.routes.get(address)
 
     def holders(self, address: RouteAddress) -> list[ServiceId]:
         """Returns the services that may hold open flows of an address."""
-        shares = self.shares(address) or []
+        route = self.find(address)
+        shares = [] if route is None else route.shares
         names = {share.service: None for share in shares}
         names.update(dict.fromkeys(sorted(self.earlier.get(address, ()))))
         return list(names)
--- a/src/bramleydyke/direct/upstream_flows.py
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -5,7 +5,14 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from bramleydyke.direct.constants import FLOW_IDLE_S, MAX_ABSENT
+from bramleydyke.direct.constants import (
+    BUSY_LIMIT_S,
+    FLOW_IDLE_S,
+    MAX_ABSENT,
+    OPEN_FLOW_LOAD,
+    OPENING_LIMIT_S,
+)
+from bramleydyke.direct.messages import Load
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp
 
 
@@ -43,20 +50,22 @@
 
     Attributes:
         absent: Flows that the upstream gave back a packet of.
-        load: Flows that are open or opening and not finished.
+        unfinished: Number of flows that are open or opening.
+        requests: Flows with a request that has no response, and since when.
     """
 
     idle_s: float = FLOW_IDLE_S
     flows: OrderedDict[FlowTuple, UpstreamFlow] = field(default_factory=OrderedDict)
     absent: OrderedDict[FlowTuple, None] = field(default_factory=OrderedDict)
-    load: int = 0
+    unfinished: int = 0
+    requests: OrderedDict[FlowTuple, float] = field(default_factory=OrderedDict)
 
     def add(self, key: FlowTuple, flow: UpstreamFlow) -> UpstreamFlow:
         """Adds a flow."""
         self.remove(key)
         self.absent.pop(key, None)
         self.flows[key] = flow
-        self.load += 1
+        self.unfinished += 1
         return flow
 
     def touch(self, key: FlowTuple, *, now: float) -> UpstreamFlow | None:
@@ -70,8 +79,9 @@
     def remove(self, key: FlowTuple) -> None:
         """Forgets a flow."""
         flow = self.flows.pop(key, None)
+        self.requests.pop(key, None)
         if flow is not None and not flow.finished:
-            self.load -= 1
+            self.unfinished -= 1
 
     def finish(self, flow: UpstreamFlow, *, caller: bool) -> None:
         """Notes that one end has sent all its data."""
@@ -81,13 +91,46 @@
         else:
             flow.upstream_finished = True
         if flow.finished and not before:
-            self.load -= 1
+            self.unfinished -= 1
 
     def end(self, flow: UpstreamFlow) -> None:
         """Notes that a flow was reset."""
         self.finish(flow, caller=True)
         self.finish(flow, caller=False)
 
+    def requested(self, key: FlowTuple, *, now: float) -> None:
+        """Notes that a flow has a request, or is about to have one."""
+        self.requests.setdefault(key, now)
+
+    def responded(self, key: FlowTuple) -> bool:
+        """Notes a response; returns True if a request was waiting for it."""
+        return self.requests.pop(key, None) is not None
+
+    def load(self, slots: int, *, factor: float = 1.0) -> Load:
+        """Returns the load for each slot.
+
+        Args:
+            slots: Requests that the upstream works on at once.
+            factor: How much slower than usual it is.
+        """
+        requests = len(self.requests) * factor / slots
+        idle = max(0, self.unfinished - len(self.requests))
+        return Load(requests, requests + idle * OPEN_FLOW_LOAD * factor / slots)
+
+    def expire_requests(self, *, now: float) -> None:
+        """Forgets requests that have waited for too long to be counted."""
+        over = [
+            key
+            for key, since in self.requests.items()
+            if now - since > (BUSY_LIMIT_S if self._open(key) else OPENING_LIMIT_S)
+        ]
+        for key in over:
+            del self.requests[key]
+
+    def _open(self, key: FlowTuple) -> bool:
+        flow = self.flows.get(key)
+        return flow is not None and flow.open
+
     def mark_absent(self, key: FlowTuple) -> None:
         """Remembers that the upstream does not hold a flow."""
         self.absent[key] = None
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -19,6 +19,7 @@
     Attributes:
         lifetime: Start of the upstream in Unix milliseconds.
         sequence: Number of the report within the lifetime.
+        slots: Requests that it works on at once.
         cold_s: Time for which the upstream is still slow after its start.
     """
 
@@ -27,6 +28,7 @@
     lifetime: Lifetime
     sequence: int
     draining: bool
+    slots: int = 1
     cold_s: float = 0.0
 
 
@@ -83,6 +85,15 @@
         self.ended = True
         return True
 
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream works on at once."""
+        return 1 if self.report is None else max(1, self.report.slots)
+
+    def cold(self, *, now: float) -> bool:
+        """Tells whether the upstream is still slow after its start."""
+        return self.report is not None and now < self.reported_at + self.report.cold_s
+
     @property
     def lifetime(self) -> Lifetime:
         """Lifetime of the upstream; 0 before the first report."""
--- a/src/bramleydyke/platform/manifest.py
+++ b/src/bramleydyke/platform/manifest.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bramleydyke.direct.routes import RouteSet, Share
+from bramleydyke.direct.routes import Route, RouteSet, Share
 from bramleydyke.direct.types import ConfigVersion, RouteAddress
 from bramleydyke.types import ServiceId
 
@@ -25,6 +25,7 @@
 
     service: str | None = None
     traffic_split: list[_Split] | None = None
+    priority: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -56,7 +57,10 @@
     """
     manifest = msgspec.json.decode(body, type=_Manifest)
     try:
-        routes = {_address(route): _shares(route) for route in manifest.routes}
+        routes = {
+            _address(route): Route(_shares(route), route.priority)
+            for route in manifest.routes
+        }
     except (OSError, OverflowError) as error:
         raise ValueError(f"route address: {error}") from error
     services = [ServiceId(service.name) for service in manifest.services]
--- a/src/bramleydyke/platform/reports.py
+++ b/src/bramleydyke/platform/reports.py
@@ -21,6 +21,7 @@
     born: _Count
     """Start of the upstream in Unix milliseconds."""
 
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
     cold_remaining_ms: float = 0.0
 
 
@@ -41,5 +42,6 @@
         lifetime=Lifetime(report.born),
         sequence=report.sequence,
         draining=report.state == "draining",
+        slots=report.slots,
         cold_s=report.cold_remaining_ms / 1_000,
     )
