Test the direct mode, its environment and the platform's adapter

Adds tests of packets, documents, store calls, entries, watches, drains, spread and environment, and faults of the direct mode to scripts/mutation_check.py.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-CORE = Path("src/bramleydyke/core")
+PACKAGE = Path("src/bramleydyke")
 TIMEOUT_S = 600
 
 
@@ -30,6 +30,7 @@
     file: str
     line: str
     fault: str
+    package: str = "core"
 
 
 MUTATIONS = [
@@ -155,29 +156,170 @@
         "self.timers.set(placement.number, min(at, placement.deadline))",
         "self.timers.set(placement.number, at)",
     ),
+    Mutation(
+        "accept_while_draining",
+        "agent.py",
+        "    UpstreamState.DRAINING: ErrorKind.DRAINING,\n",
+        "",
+        "direct",
+    ),
+    Mutation(
+        "accept_other_service",
+        "agent.py",
+        "        if service != self.service:\n            return ErrorKind.WRONG_SERVICE\n",
+        "",
+        "direct",
+    ),
+    Mutation(
+        "never_try_the_upstream",
+        "agent.py",
+        "known = self.view.fresh or now",
+        "known = True or now",
+        "direct",
+    ),
+    Mutation(
+        "keep_flows_of_an_earlier_lifetime",
+        "agent.py",
+        "if 0 < flow.lifetime < lifetime:",
+        "if False:",
+        "direct",
+    ),
+    Mutation(
+        "count_requests_for_ever",
+        "agent.py",
+        "        self.flows.expire_requests(now=now)\n",
+        "",
+        "direct",
+    ),
+    Mutation(
+        "accept_without_limit",
+        "agent.py",
+        "self.load(now=now).requests >= BUSY_PER_SLOT:",
+        "False:",
+        "direct",
+    ),
+    Mutation(
+        "reset_without_knowing_all",
+        "lookups.py",
+        "dead = self.directory.complete and not alive",
+        "dead = not alive",
+        "direct",
+    ),
+    Mutation(
+        "reset_before_all_answered",
+        "lookups.py",
+        "complete and not alive and not lookup",
+        "complete and not lookup",
+        "direct",
+    ),
+    Mutation(
+        "try_all_upstreams_at_once",
+        "lookups.py",
+        "probe = not lookup.awaited and not any(",
+        "probe = True or not any(",
+        "direct",
+    ),
+    Mutation(
+        "ask_only_the_services_agents",
+        "lookups.py",
+        "[] if partial else elsewhere",
+        "[]",
+        "direct",
+    ),
+    Mutation(
+        "no_second_agent",
+        "openings.py",
+        "            self._ask_next(flow, now=now)\n\n    def _ask_next",
+        "            del self.waiting[flow]\n\n    def _ask_next",
+        "direct",
+    ),
+    Mutation(
+        "refuse_instead_of_waiting",
+        "openings.py",
+        "hopeless = len(self.parked) >= MAX_PARKED or",
+        "hopeless = True or",
+        "direct",
+    ),
+    Mutation(
+        "apply_late_announcements",
+        "directory.py",
+        "if announcement.order() < old.order():",
+        "if False:",
+        "direct",
+    ),
+    Mutation(
+        "apply_older_routes",
+        "routes.py",
+        "routes.version <= self.current.version",
+        "False",
+        "direct",
+    ),
+    Mutation(
+        "refuse_with_stale_routes",
+        "routes.py",
+        "self.current is not None and now - self.confirmed_at <= within",
+        "True",
+        "direct",
+    ),
+    Mutation(
+        "fetch_nothing_from_peers",
+        "spread.py",
+        "self.fetch(notice.node, notice.version)",
+        "pass",
+        "direct",
+    ),
+    Mutation(
+        "take_late_reports",
+        "upstream_view.py",
+        "if _order(report) <= newest:",
+        "if False:",
+        "direct",
+    ),
+    Mutation(
+        "trust_a_recalled_drain",
+        "upstream_view.py",
+        "self.recalled_ready = state is UpstreamState.READY",
+        "self.recalled_ready = True",
+        "direct",
+    ),
+    Mutation(
+        "write_without_reading_again",
+        "entry_writer.py",
+        "        self.known = False\n        self._retry(status)",
+        "        self._retry(status)",
+        "direct",
+    ),
+    Mutation(
+        "poll_nothing",
+        "kind_watch.py",
+        "            self.store.list(self.kind, self._on_poll)",
+        "            pass",
+        "direct",
+    ),
 ]
 
 
 def apply(mutation: Mutation, root: Path) -> None:
     """Replaces the line in a copy; it must occur exactly once."""
-    path = root / CORE / mutation.file
+    path = root / PACKAGE / mutation.package / mutation.file
     text = path.read_text()
     if text.count(mutation.line) != 1:
         raise SystemExit(f"{mutation.name}: the line is not unique in {path.name}")
     path.write_text(text.replace(mutation.line, mutation.fault))
 
 
-def run_tests(root: Path, histories: int) -> list[str]:
+def run_tests(root: Path, histories: int, package: str) -> list[str]:
     """Returns the tests and scenarios that fail on a copy."""
     environment = os.environ | {
         "PYTHONPATH": str(root / "src"),
         "PYTHONDONTWRITEBYTECODE": "1",
         "HISTORIES": str(histories),
     }
-    pytest = ["pytest", "-q", "-p", "no:cacheprovider", "tests/history"]
+    tests = "tests/history" if package == "core" else f"tests/{package}"
+    pytest = ["pytest", "-q", "-p", "no:cacheprovider", tests]
     behave = ["behave", "--format", "progress", "features"]
     failed: list[str] = []
-    for command in (pytest, behave):
+    for command in (pytest, behave) if package == "core" else (pytest,):
         try:
             done = subprocess.run(
                 [sys.executable, "-m", *command],
@@ -195,17 +337,17 @@
     return list(dict.fromkeys(failed))
 
 
-def check(mutation: Mutation | None, histories: int) -> list[str]:
-    """Runs the tests on a copy with one fault, or on an unchanged copy."""
+def check(mutation: Mutation, histories: int) -> list[str]:
+    """Runs the tests of a package on a copy with one fault, or none."""
     with tempfile.TemporaryDirectory() as name:
         root = Path(name)
         for part in ("src", "tests", "features", "pyproject.toml"):
             source = ROOT / part
             copy = shutil.copytree if source.is_dir() else shutil.copy
             copy(source, root / part)
-        if mutation is not None:
+        if mutation.line:
             apply(mutation, root)
-        return run_tests(root, histories)
+        return run_tests(root, histories, mutation.package)
 
 
 def main() -> int:
@@ -219,14 +361,17 @@
     chosen = [item for item in MUTATIONS if item.name in names]
     if len(chosen) < len(names):
         parser.error(f"faults are {[item.name for item in MUTATIONS]}")
+    packages = sorted({item.package for item in chosen})
+    unchanged = [Mutation("unchanged", "", "", "", name) for name in packages]
+    cases = [*unchanged, *chosen]
     with ThreadPoolExecutor(options.jobs) as pool:
-        cases: list[Mutation | None] = [None, *chosen]
         results = list(pool.map(lambda item: check(item, options.histories), cases))
-    unchanged, *caught = results
-    print(f"unchanged: {', '.join(unchanged) or 'passes'}")
-    for mutation, failed in zip(chosen, caught, strict=True):
-        print(f"{mutation.name}: {', '.join(failed) or 'NOT CAUGHT'}")
-    return 1 if unchanged or not all(caught) else 0
+    escaped = False
+    for case, failed in zip(cases, results, strict=True):
+        expected = "passes" if case in unchanged else "NOT CAUGHT"
+        escaped = escaped or bool(failed) == (case in unchanged)
+        print(f"{case.package} {case.name}: {', '.join(failed) or expected}")
+    return 1 if escaped else 0
 
 
 if __name__ == "__main__":
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from codec import TestCodec, flow_tuple, pack, unpack
+
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.balancer import Balancer
 from bramleydyke.direct.directory import Directory
@@ -33,7 +35,6 @@
 )
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
-from codec import TestCodec, flow_tuple, pack, unpack
 
 SERVICE = ServiceId("board")
 OTHER = ServiceId("vault")
--- /dev/null
+++ b/tests/direct/test_drain.py
@@ -0,0 +1,233 @@
+"""Draining upstreams and what an agent takes at its start."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from codec import flow_tuple, pack
+from network import OTHER, SERVICE, system
+
+from bramleydyke.direct.constants import FLOW_IDLE_S
+from bramleydyke.direct.messages import Announcement, Forward, Placed, Refused
+from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
+from bramleydyke.direct.upstream_view import Report, UpstreamView
+from bramleydyke.errors import ErrorKind
+from bramleydyke.types import ServiceId, UpstreamId
+
+INTERVAL_S = 1.0
+
+
+def report(
+    lifetime: int,
+    sequence: int,
+    *,
+    draining: bool = False,
+    upstream: str = "i-1",
+    service: ServiceId = SERVICE,
+) -> Report:
+    return Report(
+        upstream=UpstreamId(upstream),
+        service=service,
+        lifetime=Lifetime(lifetime),
+        sequence=sequence,
+        draining=draining,
+    )
+
+
+def view_of() -> UpstreamView:
+    return UpstreamView(report_interval_s=INTERVAL_S)
+
+
+# Entry state by event: what an agent believes of its upstream afterwards.
+
+BEFORE = {
+    "unknown": lambda view: None,
+    "recalled ready": lambda view: view.recall(Lifetime(5), 3, UpstreamState.READY),
+    "recalled draining": lambda view: view.recall(
+        Lifetime(5), 3, UpstreamState.DRAINING
+    ),
+    "ready": lambda view: view.take(report(5, 3), now=0.0),
+    "draining": lambda view: view.take(report(5, 3, draining=True), now=0.0),
+    "suspected": lambda view: (
+        view.take(report(5, 3), now=0.0),
+        setattr(view, "suspected", True),
+    ),
+    "gone": lambda view: (
+        view.take(report(5, 3), now=0.0),
+        view.left(UpstreamId("i-1")),
+    ),
+}
+EVENTS = {
+    "next ready report": lambda view: view.take(report(5, 4), now=0.5),
+    "next draining report": lambda view: view.take(
+        report(5, 4, draining=True), now=0.5
+    ),
+    "late ready report": lambda view: view.take(report(5, 2), now=0.5),
+    "report of an earlier lifetime": lambda view: view.take(report(4, 90), now=0.5),
+    "report of a new lifetime": lambda view: view.take(report(6, 1), now=0.5),
+    "leave": lambda view: view.left(UpstreamId("i-1")),
+    "leave of another": lambda view: view.left(UpstreamId("i-2")),
+    "silence": lambda view: None,
+}
+READY, DRAINING = UpstreamState.READY, UpstreamState.DRAINING
+SILENT, GONE = UpstreamState.SILENT, UpstreamState.GONE
+AFTER = {
+    "unknown": [READY, DRAINING, READY, READY, READY, None, None, None],
+    "recalled ready": [READY, DRAINING, READY, READY, READY, READY, READY, READY],
+    "recalled draining": [READY, DRAINING, None, None, READY, None, None, None],
+    "ready": [READY, DRAINING, READY, READY, READY, GONE, READY, SILENT],
+    "draining": [READY, DRAINING, DRAINING, DRAINING, READY, GONE, DRAINING, DRAINING],
+    "suspected": [READY, DRAINING, SILENT, SILENT, READY, GONE, SILENT, SILENT],
+    "gone": [GONE, GONE, GONE, GONE, READY, GONE, GONE, GONE],
+}
+
+
+@pytest.mark.parametrize(
+    ("before", "event"), itertools.product(BEFORE, EVENTS), ids=" then ".join
+)
+def test_state_of_an_upstream(before, event):
+    view = view_of()
+    BEFORE[before](view)
+    EVENTS[event](view)
+    now = 5.0 if event == "silence" else 0.6
+    assert view.state(now=now) is AFTER[before][list(EVENTS).index(event)]
+
+
+def network_with_agent():
+    network = system(11, upstreams=1)
+    node = NodeIp("10.0.2.0")
+    sent = []
+    agent = network.agents[node]
+    agent.send = lambda to, message: sent.append(message)
+    return network, agent, sent
+
+
+def opening(service: ServiceId = SERVICE, number: int = 900) -> Forward:
+    datagram = pack(flow=flow_tuple(number), opening=True)
+    return Forward(service, False, Lifetime(0), datagram)
+
+
+def refusals(sent) -> list[ErrorKind]:
+    return [message.kind for message in sent if isinstance(message, Refused)]
+
+
+def test_a_draining_upstream_gets_no_new_flow_from_the_report_on():
+    network, agent, sent = network_with_agent()
+    upstream = network.upstreams[agent.node]
+    upstream.draining = True
+    agent.report(upstream.report(), now=network.now)
+    agent.message_in(NodeIp("10.0.1.0"), opening(), now=network.now)
+    network.run(0.1)
+    assert refusals(sent) == [ErrorKind.DRAINING]
+    assert upstream.opened_at == []
+
+
+def test_open_flows_of_a_draining_upstream_stay():
+    network = system(12, upstreams=2)
+    callers = [network.open_flow() for _ in range(8)]
+    network.run(0.5)
+    upstream = network.upstreams[NodeIp("10.0.2.0")]
+    upstream.draining = True
+    network.agents[upstream.node].report(upstream.report(), now=network.now)
+    payloads = [(caller, caller.request()) for caller in callers]
+    network.run(1.0)
+    assert all(payload in caller.answers for caller, payload in payloads)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_new_flow_after_a_drain_through_restarts_and_stale_balancers(seed):
+    network = system(seed)
+    upstream = network.upstreams[NodeIp("10.0.2.2")]
+    stale = [a.announcement(now=network.now) for a in network.agents.values()]
+    upstream.draining = True
+    agent = network.agents[upstream.node]
+    agent.report(upstream.report(), now=network.now)
+    stored = agent.announcement(now=network.now)
+    drained_at = network.now
+    network.restart_agent(upstream.node, down_s=0.6, planned=False)
+    network.run(0.3)
+    balancer = network.add_balancer("10.0.8.0", know_all=False)
+    for announcement in stale:
+        balancer.announced(announcement, now=network.now, source="store")
+    network.run(0.6)
+    restarted = network.agents[upstream.node]
+    restarted.view.recall(stored.lifetime, stored.sequence, stored.state)
+    for _ in range(40):
+        network.open_flow()
+    network.run(1.0)
+    late = [at for at, _ in upstream.opened_at if at > drained_at + 0.01]
+    assert not late
+
+
+def test_a_packet_for_another_service_is_refused():
+    network, agent, sent = network_with_agent()
+    agent.message_in(NodeIp("10.0.1.0"), opening(OTHER), now=network.now)
+    assert refusals(sent) == [ErrorKind.WRONG_SERVICE]
+
+
+def test_a_report_of_another_service_is_not_taken():
+    network, agent, _ = network_with_agent()
+    assert not agent.report(report(10**15, 1, service=OTHER), now=network.now)
+    assert agent.view.report.service == SERVICE
+
+
+def test_an_agent_without_a_report_takes_flows_only_from_its_stored_entry():
+    network, _, _ = network_with_agent()
+    agent = network.start_agent("10.0.2.0")
+    sent = []
+    agent.send = lambda to, message: sent.append(message)
+    agent.message_in(NodeIp("10.0.1.0"), opening(number=1), now=network.now)
+    assert refusals(sent) == [ErrorKind.STALE_GENERATION]
+    agent.view.recall(Lifetime(5), 3, UpstreamState.READY)
+    agent.message_in(NodeIp("10.0.1.0"), opening(number=2), now=network.now)
+    network.run(0.1)
+    assert any(isinstance(message, Placed) for message in sent)
+
+
+def test_flows_of_an_earlier_lifetime_are_reset():
+    network = system(13, upstreams=1)
+    caller = network.open_flow()
+    network.run(0.5)
+    old = network.upstreams[NodeIp("10.0.2.0")]
+    old.open.clear()
+    old.born += 100_000
+    old.sequence = 0
+    network.agents[old.node].report(old.report(), now=network.now)
+    caller.request()
+    network.run(0.05)
+    assert caller.ended == "reset"
+
+
+def test_a_full_upstream_refuses_and_tells_when_it_has_room():
+    network, agent, sent = network_with_agent()
+    network.upstreams[agent.node].alive = False
+    for number in range(5):
+        agent.message_in(NodeIp("10.0.1.0"), opening(number=number), now=network.now)
+    assert refusals(sent) == [ErrorKind.BUSY]
+    answer = pack(flow=flow_tuple(0), payload=b"x")
+    agent.upstream_packet(answer, now=network.now)
+    told = [message for message in sent if isinstance(message, Announcement)]
+    assert told[-1].load.requests == 3
+
+
+def test_requests_that_never_end_do_not_block_an_upstream_for_ever():
+    network, agent, sent = network_with_agent()
+    for number in range(4):
+        agent.flows.requested(flow_tuple(number), now=network.now)
+    agent.message_in(NodeIp("10.0.1.0"), opening(), now=network.now)
+    assert refusals(sent) == [ErrorKind.BUSY]
+    later = network.now + 4.0
+    agent.view.reported_at = later
+    agent.message_in(NodeIp("10.0.1.0"), opening(), now=later)
+    assert refusals(sent) == [ErrorKind.BUSY]
+
+
+def test_idle_flows_are_forgotten():
+    network, agent, _ = network_with_agent()
+    agent.message_in(NodeIp("10.0.1.0"), opening(), now=network.now)
+    network.run(0.1)
+    assert agent.flows.unfinished == 1
+    agent.announce(now=network.now + FLOW_IDLE_S + 1)
+    assert agent.flows.unfinished == 0
+    assert not agent.flows.flows
--- /dev/null
+++ b/tests/direct/test_environment.py
@@ -0,0 +1,305 @@
+"""HTTP over sockets, the event log and the settings of the direct mode."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+from twisted.internet.task import Clock
+
+from bramleydyke.adapters.clock import MonotonicClock
+from bramleydyke.adapters.event_log import EventLog, LineWriter, flow_text
+from bramleydyke.adapters.http_calls import HttpCalls
+from bramleydyke.adapters.http_server import (
+    MAX_BODY_BYTES,
+    HttpReply,
+    LaterReply,
+    listen_http,
+)
+from bramleydyke.adapters.raw_datagrams import RawDatagrams
+from bramleydyke.direct.settings import Role, SettingsError, load_settings
+
+sys.path.append(str(Path(__file__).parent.parent / "adapters"))
+from reactor_harness import environment, reactor, spin  # noqa: E402
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+@pytest.fixture
+def server():
+    environment()
+    later: list[LaterReply] = []
+
+    def handle(method: str, path: str, body: bytes):
+        if path == "/later":
+            later.append(LaterReply())
+            return later[-1]
+        return HttpReply(200, f"{method} {path} ".encode() + body)
+
+    endpoint = f"127.0.0.1:{free_port()}"
+    port = listen_http(reactor, endpoint, handle)
+    yield endpoint, later
+    port.stopListening()
+
+
+def calls() -> HttpCalls:
+    return HttpCalls(
+        reactor=reactor, clock=MonotonicClock(reactor), content_type="text/plain"
+    )
+
+
+def test_calls_reuse_a_connection(server):
+    endpoint, _ = server
+    client = calls()
+    seen = []
+    for number in range(3):
+        client.call(
+            "PUT",
+            endpoint,
+            f"/x{number}?a=1",
+            timeout_s=5.0,
+            body=b"body",
+            done=lambda status, body: seen.append((status, body)),
+        )
+        spin(lambda count=number + 1: len(seen) == count)
+    assert seen == [(200, b"PUT /x%d body" % n) for n in range(3)]
+    assert len(client.unused[endpoint]) == 1
+    client.close()
+
+
+def test_an_answer_may_come_later(server):
+    endpoint, later = server
+    client = calls()
+    seen = []
+    client.call(
+        "GET",
+        endpoint,
+        "/later",
+        timeout_s=5.0,
+        done=lambda status, body: seen.append((status, body)),
+    )
+    spin(lambda: later)
+    assert seen == []
+    later[0](HttpReply(202, b"now"))
+    spin(lambda: seen)
+    assert seen == [(202, b"now")]
+    client.close()
+
+
+def test_a_silent_server_ends_the_call_at_its_timeout(server):
+    endpoint, later = server
+    client = calls()
+    seen = []
+    client.call(
+        "GET",
+        endpoint,
+        "/later",
+        timeout_s=0.05,
+        done=lambda status, body: seen.append((status, body)),
+    )
+    spin(lambda: seen)
+    assert seen == [(None, b"")]
+    # An answer after that must not reach a later call.
+    later[0](HttpReply(200, b"late"))
+    client.call(
+        "GET",
+        endpoint,
+        "/next",
+        timeout_s=5.0,
+        done=lambda status, body: seen.append((status, body)),
+    )
+    spin(lambda: len(seen) == 2)
+    assert seen[1] == (200, b"GET /next ")
+    client.close()
+
+
+def test_a_closed_port_ends_the_call():
+    environment()
+    seen = []
+    calls().call(
+        "GET",
+        f"127.0.0.1:{free_port()}",
+        "/",
+        timeout_s=5.0,
+        done=lambda status, body: seen.append(status),
+    )
+    spin(lambda: seen)
+    assert seen == [None]
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"\x00\x01garbage\r\n\r\n", b"400"),
+        (
+            b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+            % (MAX_BODY_BYTES + 10)
+            + bytes(MAX_BODY_BYTES + 10),
+            b"413",
+        ),
+    ],
+)
+def test_bad_requests_are_refused(server, request_bytes, status):
+    endpoint, _ = server
+    host, port = endpoint.split(":")
+    client = socket.create_connection((host, int(port)))
+    client.setblocking(False)
+    client.sendall(request_bytes[:60_000])
+    rest = request_bytes[60_000:]
+    received = bytearray()
+
+    def read() -> bool:
+        nonlocal rest
+        try:
+            rest = rest[client.send(rest) :] if rest else rest
+        except OSError:
+            rest = b""
+        try:
+            received.extend(client.recv(4_096))
+        except OSError:
+            pass
+        return b"\r\n" in received
+
+    spin(read)
+    assert received.startswith(b"HTTP/1.1 " + status)
+    client.close()
+
+
+def test_datagrams_carry_their_sender():
+    environment()
+    port = free_port(socket.SOCK_DGRAM)
+    seen = []
+    datagrams = RawDatagrams(
+        reactor=reactor,
+        endpoint=f"127.0.0.1:{port}",
+        receive=lambda data, sender: seen.append((data, sender)),
+        count=seen.append,
+        after_batch=lambda: None,
+    )
+    datagrams.send(b"hello", "127.0.0.1", port)
+    spin(lambda: seen)
+    assert seen == [(b"hello", "127.0.0.1")]
+    datagrams.close()
+    datagrams.close()
+
+
+# The event log.
+
+
+def log_to_pipe(clock: Clock, *, lines_per_s: int = 5):
+    reader, writer = os.pipe()
+    handler = LineWriter(writer, node="n1", level="info")
+    counts: list[str] = []
+    log = EventLog(
+        handler=handler, clock=clock, lines_per_s=lines_per_s, count=counts.append
+    )
+    return reader, handler, log, counts
+
+
+def lines_of(reader: int) -> list[dict]:
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while chunk := os.read(reader, 65_536):
+            data += chunk
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_events_are_json_lines_with_their_flow():
+    clock = Clock()
+    reader, handler, log, _ = log_to_pipe(clock)
+    flow = bytes((100, 64, 0, 7, 0, 80, 198, 18, 0, 1, 1, 187))
+    with handler.applicationbound():
+        log.record("flow_placed", flow=flow, agent="10.0.0.1", node="shadowed")
+    [line] = lines_of(reader)
+    assert line["event"] == "flow_placed"
+    assert line["flow"] == "100.64.0.7:80>198.18.0.1:443" == flow_text(flow)
+    assert line["node"] == "n1"
+
+
+def test_each_event_has_a_budget_and_says_what_was_left_out():
+    clock = Clock()
+    reader, handler, log, counts = log_to_pipe(clock, lines_per_s=2)
+    with handler.applicationbound():
+        for number in range(10):
+            log.record("often", number=number)
+        log.record("seldom")
+        clock.advance(1.0)
+        log.record("often", number=10)
+    lines = lines_of(reader)
+    assert [line["event"] for line in lines] == ["often", "often", "seldom", "often"]
+    assert lines[-1]["left_out"] == 8
+    assert counts == ["log.left_out"] * 8
+
+
+def test_a_reader_that_stops_reading_does_not_block():
+    clock = Clock()
+    reader, handler, log, _ = log_to_pipe(clock, lines_per_s=100_000)
+    with handler.applicationbound():
+        for number in range(5_000):
+            log.record("often", number=number, text="x" * 100)
+    assert handler.dropped > 0
+    whole = [line["number"] for line in lines_of(reader)[:100]]
+    assert whole == list(range(100))
+
+
+# Settings.
+
+SETTINGS = {
+    "role": "agent",
+    "node": "side-1",
+    "ip": "10.0.0.1",
+    "availability_zone": "z1",
+    "packet_endpoint": "10.0.0.1:8172",
+    "outbound_endpoint": "10.0.0.1:8162",
+    "upstream_endpoint": "10.0.0.1:8165",
+    "service": "board",
+    "mesh_port": 7720,
+    "store_endpoint": "10.9.9.9:8169",
+}
+
+
+def write_settings(tmp_path: Path, change: dict) -> Path:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS | change))
+    return path
+
+
+def test_settings_are_read_with_their_defaults(tmp_path):
+    settings = load_settings(write_settings(tmp_path, {"unknown": 1}))
+    assert settings.role is Role.AGENT
+    assert settings.log_lines_per_s == 20
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"role": "cook"}, "role"),
+        ({"mesh_port": "7720"}, "mesh_port"),
+        ({"mesh_port": 70_000}, "mesh_port"),
+        ({"packet_endpoint": "somewhere:1"}, "packet_endpoint"),
+        ({"service": None}, "service"),
+        ({"log_level": "loud"}, "log_level"),
+    ],
+)
+def test_wrong_settings_name_file_and_field(tmp_path, change, named):
+    path = write_settings(tmp_path, change)
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path)
+    assert str(path) in str(caught.value)
+    assert named in str(caught.value)
+
+
+def test_a_missing_file_is_named(tmp_path):
+    with pytest.raises(SettingsError, match=r"none\.json"):
+        load_settings(tmp_path / "none.json")
--- a/tests/direct/test_flows.py
+++ b/tests/direct/test_flows.py
@@ -5,10 +5,10 @@
 import random
 
 import pytest
+from network import OTHER, REPORT_S, ROUTE, Network, routes, system
 
 from bramleydyke.direct.constants import BUSY_PER_SLOT
 from bramleydyke.direct.types import NodeIp
-from network import OTHER, REPORT_S, ROUTE, Network, routes, system
 
 SEEDS = range(20)
 
--- /dev/null
+++ b/tests/direct/test_kind_watch.py
@@ -0,0 +1,99 @@
+"""Following a kind through outages, lost history and silent watches."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet.task import Clock
+
+from bramleydyke.direct.kind_watch import KindWatch
+from bramleydyke.direct.store import CallStatus, Changes, Kind, Listing, Revision
+
+
+class ScriptedStore:
+    """Keeps calls until the test answers them."""
+
+    def __init__(self) -> None:
+        self.lists = []
+        self.watches = []
+
+    def list(self, kind, reply, *, stale=False):
+        self.lists.append(reply)
+
+    def watch(self, kind, revision, wait_s, reply):
+        self.watches.append((revision, reply))
+
+
+def watch_of(store, clock, **options):
+    seen = []
+    events = []
+    watch = KindWatch(
+        kind=Kind.CONFIGURATION,
+        store=store,
+        clock=clock,
+        random_source=random.Random(1),
+        listed=lambda listing: seen.append(("listed", listing.revision)),
+        changed=lambda changes: seen.append(("changed", changes.revision)),
+        count=lambda name: None,
+        record=lambda event, **inputs: events.append(event),
+        **options,
+    )
+    return watch, seen, events
+
+
+def test_lists_then_watches_from_each_revision():
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = watch_of(store, clock)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    revision, reply = store.watches.pop()
+    assert revision == 5
+    reply(CallStatus.OK, Changes([], Revision(7)))
+    assert store.watches.pop()[0] == 7
+    assert seen == [("listed", 5), ("changed", 7)]
+
+
+def test_lists_again_at_once_when_history_is_gone():
+    store, clock = ScriptedStore(), Clock()
+    watch, _, events = watch_of(store, clock)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    store.watches.pop()[1](CallStatus.HISTORY_GONE, None)
+    assert len(store.lists) == 1
+    assert events == []
+
+
+def test_an_outage_is_logged_once_and_ends_within_a_second_of_the_return():
+    store, clock = ScriptedStore(), Clock()
+    lost = []
+    watch, seen, events = watch_of(store, clock, on_lost=lambda: lost.append(1))
+    watch.start()
+    for _ in range(20):
+        store.lists.pop()(CallStatus.LOST, None)
+        clock.advance(1.0)
+    assert len(store.lists) == 1
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(9)))
+    assert events == ["store_lost", "store_regained"]
+    assert lost == [1]
+    assert seen == [("listed", 9)]
+
+
+def test_polls_beside_a_watch_that_hears_nothing():
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = watch_of(store, clock, poll_s=lambda: 1.0)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    clock.advance(1.0)
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(6)))
+    assert seen == [("listed", 5), ("listed", 6)]
+    assert len(store.watches) == 1
+
+
+def test_a_stopped_watch_makes_no_calls():
+    store, clock = ScriptedStore(), Clock()
+    watch, _, _ = watch_of(store, clock, poll_s=lambda: 1.0)
+    watch.start()
+    watch.stop()
+    store.lists.pop()(CallStatus.LOST, None)
+    clock.advance(10.0)
+    assert store.lists == [] and store.watches == []
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,182 @@
+"""Calls to the platform's store, and how its answers are read."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, strategies as st
+
+from bramleydyke.direct.registry import BalancerEntry, UpstreamEntry
+from bramleydyke.direct.store import CallStatus, Kind, Revision
+from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
+from bramleydyke.platform.store import PlatformStore
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+ENTRY = UpstreamEntry(
+    node=NodeIp("10.0.0.1"),
+    zone=AvailabilityZone("z1"),
+    service=ServiceId("board"),
+    upstream=UpstreamId("i-1"),
+    lifetime=Lifetime(5),
+    sequence=2,
+    revision=1,
+    state=UpstreamState.READY,
+)
+SPEC = {
+    "node": "10.0.0.1",
+    "zone": "z1",
+    "service": "board",
+    "upstream": "i-1",
+    "lifetime": 5,
+    "sequence": 2,
+    "revision": 1,
+    "state": "ready",
+}
+
+
+class Calls:
+    """Answers the calls of a store from a list, and keeps what was asked."""
+
+    def __init__(self, *answers: tuple[int | None, Any]) -> None:
+        self.answers = list(answers)
+        self.made: list[tuple[str, str, Any]] = []
+
+    def call(self, method, endpoint, target, *, timeout_s, done, body=None):
+        self.made.append((method, target, None if body is None else json.loads(body)))
+        status, answer = self.answers.pop(0)
+        raw = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        done(status, raw)
+
+
+def store_with(*answers):
+    calls = Calls(*answers)
+    counts: list[str] = []
+    return PlatformStore(calls=calls, endpoint="10.9.9.9:1", count=counts.append), calls
+
+
+def replies():
+    seen: list[tuple[CallStatus, Any]] = []
+    return seen, lambda status, value: seen.append((status, value))
+
+
+def item(name: str, revision: int, spec: Any) -> dict[str, Any]:
+    return {"meta": {"name": name, "revision": revision}, "spec": spec}
+
+
+def test_lists_all_pages():
+    store, calls = store_with(
+        (200, {"items": [item("a", 3, SPEC)], "more": True, "current_rev": 8}),
+        (200, {"items": [item("b", 4, SPEC)], "more": False, "current_rev": 9}),
+    )
+    seen, reply = replies()
+    store.list(Kind.UPSTREAMS, reply, stale=True)
+    [(status, listing)] = seen
+    assert status is CallStatus.OK
+    assert [stored.name for stored in listing.objects] == ["a", "b"]
+    assert listing.objects[0].value == ENTRY
+    assert listing.revision == 9
+    assert [target for _, target, _ in calls.made] == [
+        "/objects/bramleydyke-upstreams?allow_stale=1",
+        "/objects/bramleydyke-upstreams?allow_stale=1&after=a",
+    ]
+
+
+def test_objects_of_other_writers_have_no_value_and_lose_nothing_else():
+    unreadable = [None, 5, "x", [], {}, SPEC | {"state": "odd"}, SPEC | {"node": 1}]
+    items = [item(f"x{n}", n, spec) for n, spec in enumerate(unreadable)]
+    store, _ = store_with(
+        (200, {"items": [*items, item("10.0.0.1", 9, SPEC)], "current_rev": 9})
+    )
+    seen, reply = replies()
+    store.list(Kind.UPSTREAMS, reply)
+    values = [stored.value for stored in seen[0][1].objects]
+    assert values == [None] * len(unreadable) + [ENTRY]
+
+
+def test_watches_changes_and_learns_that_history_is_gone():
+    store, calls = store_with(
+        (
+            200,
+            {
+                "events": [{"object": item("10.0.0.1", 7, SPEC), "removed": True}],
+                "current_rev": 7,
+            },
+        ),
+        (410, {}),
+    )
+    seen, reply = replies()
+    store.watch(Kind.UPSTREAMS, Revision(3), 10.0, reply)
+    store.watch(Kind.UPSTREAMS, Revision(3), 10.0, reply)
+    assert seen[0][1].changes[0].removed
+    assert seen[0][1].revision == 7
+    assert seen[1] == (CallStatus.HISTORY_GONE, None)
+    assert calls.made[0][1].endswith("?watch=3&wait_ms=10000")
+
+
+def test_writes_carry_the_revision_that_they_replace():
+    answer = item("10.0.0.1", 12, SPEC)
+    store, calls = store_with((201, answer), (200, answer), (409, answer), (200, {}))
+    seen, reply = replies()
+    store.create(Kind.UPSTREAMS, "10.0.0.1", ENTRY, reply)
+    store.replace(Kind.UPSTREAMS, "10.0.0.1", ENTRY, Revision(11), reply)
+    store.remove(Kind.UPSTREAMS, "10.0.0.1", Revision(12), reply)
+    store.remove(Kind.UPSTREAMS, "10.0.0.1", Revision(12), reply)
+    assert [status for status, _ in seen] == [
+        CallStatus.OK,
+        CallStatus.OK,
+        CallStatus.CONFLICT,
+        CallStatus.OK,
+    ]
+    assert seen[2][1].revision == 12
+    assert [(method, body) for method, _, body in calls.made] == [
+        ("POST", {"meta": {"name": "10.0.0.1"}, "spec": SPEC}),
+        ("PUT", {"meta": {"name": "10.0.0.1", "revision": 11}, "spec": SPEC}),
+        ("DELETE", None),
+        ("DELETE", None),
+    ]
+    assert calls.made[2][1].endswith("/10.0.0.1?revision=12")
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (None, CallStatus.LOST),
+        (404, CallStatus.NOT_FOUND),
+        (429, CallStatus.REFUSED),
+        (503, CallStatus.REFUSED),
+        (500, CallStatus.LOST),
+    ],
+)
+def test_results_say_whether_something_was_done(status, expected):
+    store, _ = store_with((status, b""), (status, b""))
+    seen, reply = replies()
+    store.get(Kind.BALANCERS, "10.0.0.1", reply)
+    store.list(Kind.BALANCERS, reply)
+    assert [one for one, _ in seen] == [expected, expected]
+
+
+def test_balancers_round_trip():
+    entry = BalancerEntry(NodeIp("10.0.0.2"), AvailabilityZone("z2"))
+    spec = {"node": "10.0.0.2", "zone": "z2"}
+    store, calls = store_with((200, item("10.0.0.2", 1, spec)), (200, {}))
+    seen, reply = replies()
+    store.get(Kind.BALANCERS, "10.0.0.2", reply)
+    store.create(Kind.BALANCERS, "10.0.0.2", entry, reply)
+    assert seen[0][1].value == entry
+    assert calls.made[1][2]["spec"] == spec
+
+
+@given(st.binary(max_size=200))
+def test_any_answer_is_read_or_counts_as_lost(body):
+    for call in ("list", "watch", "get"):
+        store, _ = store_with((200, body))
+        seen, reply = replies()
+        if call == "list":
+            store.list(Kind.CONFIGURATION, reply)
+        elif call == "watch":
+            store.watch(Kind.CONFIGURATION, Revision(1), 1.0, reply)
+        else:
+            store.get(Kind.CONFIGURATION, "main", reply)
+        assert len(seen) == 1
