Stand-ins of the platform; the programs run over the adapter without the kit

Store, routers, upstreams and callers speak the platform's protocol on 127.0.0.0/8. End-to-end tests cover loss of balancers, restarts, drains, changes of the manifest and outages of the store.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGE = Path("src/bramleydyke")
-TIMEOUT_S = 600
+TIMEOUT_S = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,8 +166,8 @@
     Mutation(
         "accept_other_service",
         "agent.py",
-        "        if service != self.service:\n            return ErrorKind.WRONG_SERVICE\n",
-        "",
+        "        if service != self.service:",
+        "        if False:",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/adapters/http_server.py
+++ b/src/bramleydyke/adapters/http_server.py
@@ -43,22 +43,28 @@
 
 
 Handler = Callable[[str, str, bytes], HttpReply | LaterReply]
-"""Answers a method, path and body."""
+"""Answers a method, target (path and query) and body."""
 
 
 class _HttpServer(Protocol):
     """Answers the requests of one connection, one after another."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, connections: set[_HttpServer]) -> None:
         self.handler = handler
+        self.connections = connections
         self.state = h11.Connection(h11.SERVER)
         self.head: h11.Request | None = None
         self.body: list[bytes] = []
         self.open = True
 
+    def connectionMade(self) -> None:  # noqa: N802 - name given by twisted
+        """Notes the connection."""
+        self.connections.add(self)
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 - twisted
         """Drops answers that are given from now on."""
         self.open = False
+        self.connections.discard(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - twisted's name
         """Reads requests."""
@@ -89,9 +95,9 @@
 
     def _handle(self) -> None:
         assert self.head is not None
-        path = self.head.target.decode("ascii", "replace").partition("?")[0]
+        target = self.head.target.decode("ascii", "replace")
         method = self.head.method.decode("ascii")
-        reply = self.handler(method, path, b"".join(self.body))
+        reply = self.handler(method, target, b"".join(self.body))
         if isinstance(reply, LaterReply):
             reply.then(self._send_later)
         else:
@@ -128,14 +134,30 @@
 
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
+        self.connections: set[_HttpServer] = set()
 
     def buildProtocol(self, address: Any) -> _HttpServer:  # noqa: N802 - twisted
         """Returns the protocol of a connection."""
-        return _HttpServer(self.handler)
+        return _HttpServer(self.handler, self.connections)
+
+
+class HttpListener(NamedTuple):
+    """A port that takes HTTP requests."""
+
+    port: Any
+    connections: set[_HttpServer]
+
+    def close(self) -> None:
+        """Takes no more requests and closes the open connections."""
+        self.port.stopListening()
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
 
 
-def listen_http(reactor: Any, endpoint: str, handler: Handler) -> Any:
-    """Listens for HTTP requests at ``ip:port``; returns twisted's port."""
+def listen_http(reactor: Any, endpoint: str, handler: Handler) -> HttpListener:
+    """Listens for HTTP requests at ``ip:port``."""
     address = parse_endpoint(endpoint)
     assert address is not None, endpoint
-    return reactor.listenTCP(address[1], _HttpFactory(handler), interface=address[0])
+    factory = _HttpFactory(handler)
+    port = reactor.listenTCP(address[1], factory, interface=address[0])
+    return HttpListener(port, factory.connections)
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -15,15 +15,19 @@
 from bramleydyke.adapters.event_log import EventLog, LineWriter
 from bramleydyke.adapters.http_server import (
     Handler,
+    HttpListener,
     HttpReply,
     LaterReply,
     listen_http,
 )
 from bramleydyke.adapters.raw_datagrams import RawDatagrams
 from bramleydyke.direct.messages import decode, encode
+from bramleydyke.direct.ports import Count
 from bramleydyke.direct.settings import DirectSettings, SettingsError, load_settings
+from bramleydyke.direct.store import Store
 from bramleydyke.direct.types import NodeIp
 from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.ports import Clock
 
 STDOUT = 1
 
@@ -31,6 +35,10 @@
 """Interval at which the settings file is compared with what was read."""
 
 
+NewStore = Callable[[Any, Clock, Count], Store]
+"""Returns the store's client for a reactor, a clock and a counter."""
+
+
 class Role(Protocol):
     """A role that handles messages and has something to do at times."""
 
@@ -55,9 +63,14 @@
 
     role: Role
 
-    def __init__(self, reactor: Any, settings: DirectSettings, path: Path) -> None:
-        # The reactor's own clock is the time of day, which may jump.
-        reactor.seconds = time.monotonic
+    def __init__(
+        self,
+        reactor: Any,
+        settings: DirectSettings,
+        path: Path,
+        *,
+        log_descriptor: int = STDOUT,
+    ) -> None:
         self.reactor = reactor
         self.settings = settings
         self.path = path
@@ -65,16 +78,21 @@
         self.counts: dict[str, int] = {}
         self.seed = random.SystemRandom().getrandbits(32)
         self.random_source = random.Random(self.seed)
-        self.handler = LineWriter(STDOUT, node=settings.node, level=settings.log_level)
+        self.handler = LineWriter(
+            log_descriptor, node=settings.node, level=settings.log_level
+        )
         self.log = EventLog(
             handler=self.handler,
             clock=self.clock,
             lines_per_s=settings.log_lines_per_s,
             count=self.count,
         )
+        self.sockets: list[RawDatagrams] = []
         self.mesh = self.datagrams(
             f"{settings.ip}:{settings.mesh_port}", self._mesh_datagram
         )
+        self.servers: list[HttpListener] = []
+        self.stopped = False
         self.timer: Any = None
         self.due_at = float("inf")
         self.reading = self._stat()
@@ -95,13 +113,15 @@
         self, endpoint: str, receive: Callable[[bytes, str], None]
     ) -> RawDatagrams:
         """Opens a UDP socket whose datagrams go to a function."""
-        return RawDatagrams(
+        opened = RawDatagrams(
             reactor=self.reactor,
             endpoint=endpoint,
             receive=self.guarded(receive),
             count=self.count,
             after_batch=self.arm,
         )
+        self.sockets.append(opened)
+        return opened
 
     def guarded(self, call: Callable[..., None]) -> Callable[..., None]:
         """Returns a function whose failure stops nothing else."""
@@ -126,7 +146,7 @@
             self.arm()
             return reply
 
-        listen_http(self.reactor, endpoint, guard)
+        self.servers.append(listen_http(self.reactor, endpoint, guard))
 
     def start(self) -> None:
         """Starts the role's timers, the metrics page and the signals."""
@@ -142,7 +162,7 @@
 
     def arm(self) -> None:
         """Sets the timer to the role's next wake-up, if that is earlier."""
-        at = self.role.next_wakeup()
+        at = None if self.stopped else self.role.next_wakeup()
         if at is None or at >= self.due_at:
             return
         if self.timer is not None and self.timer.active():
@@ -157,9 +177,20 @@
         self.clock.callLater(after_s, self._end)
 
     def _end(self) -> None:
-        self.log.record("stopped", counts=self.counts)
+        self.close()
         self.reactor.stop()
 
+    def close(self) -> None:
+        """Closes all sockets and makes no more calls."""
+        self.log.record("stopped", counts=self.counts)
+        self.stopped = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        for server in self.servers:
+            server.close()
+        for datagrams in self.sockets:
+            datagrams.close()
+
     def _wake(self) -> None:
         self.due_at = float("inf")
         try:
@@ -194,6 +225,8 @@
         return (found.st_mtime_ns, found.st_size)
 
     def _check_settings(self) -> None:
+        if self.stopped:
+            return
         self.clock.callLater(SETTINGS_CHECK_S, self._check_settings)
         if self._stat() != self.reading:
             self.reload(reason="file")
@@ -233,6 +266,8 @@
     from twisted.internet import reactor as any_reactor
 
     reactor: Any = any_reactor
+    # The reactor's own clock is the time of day, which may jump.
+    reactor.seconds = time.monotonic
     node = make(reactor)
     with node.handler.applicationbound():
         node.start()
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from bramleydyke.daemons.direct import DirectNode
+from bramleydyke.daemons.direct import DirectNode, NewStore
 from bramleydyke.daemons.direct_balancer import caller_ip
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.constants import AGENT_LINGER_S, BALANCER_LIST_S
@@ -40,9 +40,10 @@
         path: Path,
         *,
         codec: PacketCodec,
-        new_store: Any,
+        new_store: NewStore,
+        **options: Any,
     ) -> None:
-        super().__init__(reactor, settings, path)
+        super().__init__(reactor, settings, path, **options)
         me = NodeIp(settings.ip)
         upstream = parse_endpoint(settings.upstream_endpoint or "")
         assert upstream is not None
@@ -122,6 +123,11 @@
         self.role.pause(now=self.clock.seconds())
         self.stop(after_s=AGENT_LINGER_S, reason="SIGTERM")
 
+    def close(self) -> None:
+        """Closes all sockets and makes no more calls."""
+        self.entry.stop()
+        super().close()
+
     def _store_entry(self) -> None:
         """Writes the upstream's entry if its state or lifetime changed."""
         announcement = self.role.announcement(now=self.clock.seconds())
@@ -155,8 +161,11 @@
 
     def _list_balancers(self, *, stale: bool = True) -> None:
         """Reads the balancers; those that send packets are known without."""
+        if self.stopped:
+            return
         self.store.list(Kind.BALANCERS, self._on_balancers, stale=stale)
-        self.clock.callLater(BALANCER_LIST_S, self._list_balancers)
+        if not self.stopped:
+            self.clock.callLater(BALANCER_LIST_S, self._list_balancers)
 
     def _on_balancers(self, status: CallStatus, listing: Listing | None) -> None:
         if status is not CallStatus.OK or listing is None:
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -9,7 +9,7 @@
 
 from bramleydyke.adapters.http_calls import HttpCalls
 from bramleydyke.adapters.http_server import HttpReply
-from bramleydyke.daemons.direct import DirectNode
+from bramleydyke.daemons.direct import DirectNode, NewStore
 from bramleydyke.direct.balancer import Balancer
 from bramleydyke.direct.constants import BALANCER_LINGER_S, STORE_TIMEOUT_S
 from bramleydyke.direct.directory import Directory
@@ -53,9 +53,10 @@
         path: Path,
         *,
         codec: PacketCodec,
-        new_store: Any,
+        new_store: NewStore,
+        **options: Any,
     ) -> None:
-        super().__init__(reactor, settings, path)
+        super().__init__(reactor, settings, path, **options)
         me = NodeIp(settings.ip)
         zone = AvailabilityZone(settings.availability_zone)
         self.caller_port = port_of(settings.packet_endpoint)
@@ -130,6 +131,13 @@
         limit = self.settings.stop_within_s - END_MARGIN_S
         self.stop(after_s=min(BALANCER_LINGER_S, limit), reason="SIGTERM")
 
+    def close(self) -> None:
+        """Closes all sockets and makes no more calls."""
+        self.registry.stop()
+        self.entry.stop()
+        self.peer_calls.close()
+        super().close()
+
     def fetch(self, node: NodeIp, version: ConfigVersion) -> None:
         """Asks another balancer for what this one may lack."""
         if node in self.fetching:
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -100,10 +100,11 @@
 MAX_SUSPECT_S = 4.0
 """Limit of that time, which doubles with each failure in a row."""
 
-DEAD_AGENT_S = 2.5
+DEAD_AGENT_S = 4.0
 """Silence after which an agent's flows are taken for lost.
 
-An agent restarts within a second or two.
+An agent restarts within two seconds and announces its upstream with the next
+report after that.
 """
 
 DEAD_AGENT_FAILURES = 2
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -70,6 +70,8 @@
             return True
         old = entry.announcement
         if announcement.order() < old.order():
+            if heard:
+                self.answered(announcement.node, now=now)
             return False
         if old.service != announcement.service:
             self.by_service[old.service].pop(announcement.node, None)
--- a/src/bramleydyke/direct/entry_writer.py
+++ b/src/bramleydyke/direct/entry_writer.py
@@ -44,6 +44,7 @@
     stored: StoredObject | None = None
     known: bool = False
     busy: bool = False
+    stopped: bool = False
     failures: int = 0
 
     def start(self) -> None:
@@ -51,6 +52,10 @@
         if not self.busy:
             self._read()
 
+    def stop(self) -> None:
+        """Makes no more calls."""
+        self.stopped = True
+
     def want(self, value: Any) -> None:
         """Sets the value to store."""
         self.wanted = value
@@ -63,7 +68,7 @@
         return self.known and stored == self.wanted
 
     def _settle(self) -> None:
-        if self.busy or not self.decided or self.settled():
+        if self.stopped or self.busy or not self.decided or self.settled():
             return
         self.busy = True
         if not self.known:
@@ -82,6 +87,8 @@
             )
 
     def _read(self) -> None:
+        if self.stopped:
+            return
         self.busy = True
         self.store.get(self.kind, self.name, self._on_read)
 
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -98,6 +98,7 @@
     count: Count
     record: Record
     watches: list[KindWatch] = field(default_factory=list)
+    stopped: bool = False
     listed_names: set[NodeIp] = field(default_factory=set)
 
     def start(self) -> None:
@@ -122,6 +123,7 @@
 
     def stop(self) -> None:
         """Makes no more calls."""
+        self.stopped = True
         for watch in self.watches:
             watch.stop()
 
@@ -223,6 +225,8 @@
     # Balancers.
 
     def _list_balancers(self, *, stale: bool = True) -> None:
+        if self.stopped:
+            return
         self.store.list(Kind.BALANCERS, self._balancers_listed, stale=stale)
 
     def _balancers_listed(self, status: CallStatus, listing: Listing | None) -> None:
--- a/src/bramleydyke/platform/endpoints.py
+++ b/src/bramleydyke/platform/endpoints.py
@@ -20,8 +20,8 @@
 def readiness(ready: Callable[[], bool]) -> Handler:
     """Returns the handler of the routers' readiness check."""
 
-    def handle(method: str, path: str, body: bytes) -> HttpReply:
-        if path != READY_PATH:
+    def handle(method: str, target: str, body: bytes) -> HttpReply:
+        if target.partition("?")[0] != READY_PATH:
             return HttpReply(404)
         return HttpReply(200 if ready() else 503)
 
@@ -44,7 +44,8 @@
         record: Logs unreadable reports.
     """
 
-    def handle(method: str, path: str, body: bytes) -> HttpReply | LaterReply:
+    def handle(method: str, target: str, body: bytes) -> HttpReply | LaterReply:
+        path = target.partition("?")[0]
         upstream = path.removeprefix(REPORT_PREFIX)
         if upstream == path or not upstream:
             return HttpReply(404)
--- a/src/bramleydyke/platform/main.py
+++ b/src/bramleydyke/platform/main.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from bramleydyke.adapters.http_calls import HttpCalls
-from bramleydyke.daemons.direct import DirectNode, run_node
+from bramleydyke.daemons.direct import NewStore, run_node
 from bramleydyke.daemons.direct_agent import DirectAgent
 from bramleydyke.daemons.direct_balancer import DirectBalancer
 from bramleydyke.direct.ports import Count
@@ -37,14 +37,29 @@
     except SettingsError as error:
         sys.stderr.write(f"bramleydyke: {error}\n")
         return START_FAILED
-    make = _balancer if settings.role is Role.BALANCER else _agent
     run_node(
-        lambda reactor: make(reactor, settings, path), lambda node: node.terminate()
+        lambda reactor: new_node(reactor, settings, path),
+        lambda node: node.terminate(),
     )
     return 0
 
 
-def _new_store(settings: DirectSettings) -> Any:
+def new_node(
+    reactor: Any, settings: DirectSettings, path: Path, **options: Any
+) -> DirectBalancer | DirectAgent:
+    """Returns the program of some settings, with the platform's interfaces.
+
+    Args:
+        reactor: Twisted's reactor.
+        settings: Settings of the program.
+        path: File that the settings came from.
+        options: Passed to the program.
+    """
+    make = _balancer if settings.role is Role.BALANCER else _agent
+    return make(reactor, settings, path, **options)
+
+
+def _new_store(settings: DirectSettings) -> NewStore:
     def new_store(reactor: Any, clock: Clock, count: Count) -> PlatformStore:
         calls = HttpCalls(reactor=reactor, clock=clock, content_type="application/json")
         return PlatformStore(calls=calls, endpoint=settings.store_endpoint, count=count)
@@ -52,13 +67,16 @@
     return new_store
 
 
-def _balancer(reactor: Any, settings: DirectSettings, path: Path) -> DirectNode:
+def _balancer(
+    reactor: Any, settings: DirectSettings, path: Path, **options: Any
+) -> DirectBalancer:
     node = DirectBalancer(
         reactor,
         settings,
         path,
         codec=PlatformPackets(),
         new_store=_new_store(settings),
+        **options,
     )
     if settings.ready_endpoint is not None:
         node.listen(settings.ready_endpoint, readiness(node.ready))
@@ -67,13 +85,16 @@
     return node
 
 
-def _agent(reactor: Any, settings: DirectSettings, path: Path) -> DirectNode:
+def _agent(
+    reactor: Any, settings: DirectSettings, path: Path, **options: Any
+) -> DirectAgent:
     node = DirectAgent(
         reactor,
         settings,
         path,
         codec=PlatformPackets(),
         new_store=_new_store(settings),
+        **options,
     )
     if settings.ready_endpoint is not None:
         node.listen(settings.ready_endpoint, readiness(lambda: not node.role.pausing))
--- /dev/null
+++ b/src/bramleydyke/standins/platform_vm/ends.py
@@ -0,0 +1,389 @@
+"""Both ends of a flow: upstreams, callers and the routers to balancers."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import socket
+import struct
+import zlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from bramleydyke.adapters.http_calls import HttpCalls
+from bramleydyke.adapters.raw_datagrams import RawDatagrams
+from bramleydyke.endpoints import parse_endpoint
+from bramleydyke.platform.packets import ACK, BOUNCED, FIN, HEAD_BYTES, RST, SYN
+from bramleydyke.ports import Clock
+
+_HEAD = struct.Struct(">IH4sH4sIIB5sHI")
+_MASK = 0xFFFF_FFFF
+
+SYN_COPIES_S = (0.0, 0.2, 0.6)
+GIVE_UP_S = 1.4
+RETRANSMIT_S = (0.2, 0.4, 0.8, 1.6)
+CHECK_INTERVAL_S = 0.5
+MAX_MISSES = 2
+
+End = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """One packet, with its fields by name."""
+
+    source: End
+    target: End
+    flags: int = 0
+    sequence: int = 0
+    acknowledged: int = 0
+    payload: bytes = b""
+
+    def checksum(self) -> int:
+        """Returns the sum that shows whether a field was changed."""
+        fields = (self.source, self.target, self.flags & ~BOUNCED)
+        numbers = (self.sequence, self.acknowledged, self.payload)
+        return zlib.crc32(repr((fields, numbers)).encode())
+
+    def encode(self) -> bytes:
+        """Returns the datagram."""
+        head = _HEAD.pack(
+            0,
+            self.target[1],
+            socket.inet_aton(self.source[0]),
+            self.source[1],
+            socket.inet_aton(self.target[0]),
+            self.sequence,
+            self.acknowledged,
+            self.flags,
+            bytes(5),
+            len(self.payload),
+            self.checksum(),
+        )
+        return head + self.payload
+
+
+def decode(datagram: bytes) -> tuple[Segment, bool]:
+    """Returns a packet, and whether its sum is that of its sender."""
+    fields = _HEAD.unpack_from(datagram)
+    _, dport, src, sport, dst, sequence, acknowledged, flags, _, _, total = fields
+    segment = Segment(
+        (socket.inet_ntoa(src), sport),
+        (socket.inet_ntoa(dst), dport),
+        flags,
+        sequence,
+        acknowledged,
+        datagram[HEAD_BYTES:],
+    )
+    return segment, total == segment.checksum()
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamStandIn:
+    """An upstream: answers each request, reports to its agent, drains.
+
+    Attributes:
+        ran: Requests that it answered, by payload.
+        forged: Packets whose sum was wrong.
+        acknowledged_drain: True once an agent has acknowledged its drain.
+        taken_at: When it last took an opening packet, in seconds.
+    """
+
+    reactor: Any
+    clock: Clock
+    name: str
+    service: str
+    zone: str
+    endpoint: str
+    outbound: str
+    control: str
+    born: int
+    report_s: float = 0.2
+    slots: int = 2
+    draining: bool = False
+    alive: bool = True
+    acknowledged_drain: bool = False
+    taken_at: float = 0.0
+    sequence: int = 0
+    numbers: Any = field(default_factory=lambda: itertools.count(1 << 20, 1 << 20))
+    half_open: dict[tuple[End, End], int] = field(default_factory=dict)
+    open: set[tuple[End, End]] = field(default_factory=set)
+    ran: Counter[bytes] = field(default_factory=Counter)
+    forged: int = 0
+    sockets: Any = None
+    calls: Any = None
+
+    def start(self) -> None:
+        """Starts to serve and to report."""
+        self.sockets = RawDatagrams(
+            reactor=self.reactor,
+            endpoint=self.endpoint,
+            receive=self._packet,
+            count=lambda _: None,
+            after_batch=lambda: None,
+        )
+        self.calls = HttpCalls(
+            reactor=self.reactor, clock=self.clock, content_type="application/json"
+        )
+        self._report()
+
+    def stop(self) -> None:
+        """Ends at once, as a crash does."""
+        self.alive = False
+        self.sockets.close()
+        self.calls.close()
+
+    def leave(self) -> None:
+        """Tells the agent that it is gone, then ends."""
+        self.calls.call(
+            "DELETE",
+            self.control,
+            f"/instances/{self.name}",
+            timeout_s=1.0,
+            done=lambda status, body: self.stop(),
+        )
+
+    def _report(self) -> None:
+        if not self.alive:
+            return
+        self.sequence += 1
+        report = {
+            "service": self.service,
+            "address": self.endpoint,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        draining = self.draining
+
+        def done(status: int | None, body: bytes) -> None:
+            if status == 200 and draining:
+                self.acknowledged_drain = True
+
+        self.calls.call(
+            "PUT",
+            self.control,
+            f"/instances/{self.name}",
+            timeout_s=1.0,
+            done=done,
+            body=json.dumps(report).encode(),
+        )
+        self.clock.callLater(self.report_s, self._report)
+
+    def _packet(self, datagram: bytes, sender: str) -> None:
+        segment, whole = decode(datagram)
+        self.forged += not whole
+        flow = (segment.source, segment.target)
+        if segment.flags & SYN:
+            self.taken_at = self.clock.seconds()
+            first = self.half_open.setdefault(flow, next(self.numbers))
+            self._answer(segment, SYN | ACK, sequence=first)
+            return
+        if self.half_open.get(flow) == segment.acknowledged - 1 & _MASK:
+            del self.half_open[flow]
+            self.open.add(flow)
+        if flow not in self.open:
+            self._send(
+                datagram[:24] + bytes((segment.flags | BOUNCED,)) + datagram[25:]
+            )
+        elif segment.flags & FIN:
+            self._answer(segment, ACK | FIN)
+            self.open.discard(flow)
+        elif segment.payload:
+            self.ran[segment.payload] += 1
+            text = f"{self.service} {segment.payload.decode()}"
+            self._answer(segment, ACK, payload=text.encode())
+
+    def _answer(self, segment: Segment, flags: int, **fields: Any) -> None:
+        answer = Segment(segment.target, segment.source, flags, **fields)
+        self._send(answer.encode())
+
+    def _send(self, datagram: bytes) -> None:
+        host, port = parse_endpoint(self.outbound) or ("", 0)
+        self.sockets.send(datagram, host, port)
+
+
+@dataclass(slots=True, kw_only=True)
+class Routers:
+    """Hands callers' packets to the balancers whose readiness check succeeds.
+
+    Attributes:
+        packet_port: Port of the balancers for packets.
+        ready_port: Port of their readiness checks.
+        misses: Failed checks in a row of each balancer.
+    """
+
+    reactor: Any
+    clock: Clock
+    packet_port: int
+    ready_port: int
+    misses: dict[str, int] = field(default_factory=dict)
+    calls: Any = None
+
+    def start(self) -> None:
+        """Starts to check the balancers."""
+        self.calls = HttpCalls(
+            reactor=self.reactor, clock=self.clock, content_type="application/json"
+        )
+        self._check()
+
+    def add(self, node: str) -> None:
+        """Adds a balancer, out of rotation at first."""
+        self.misses[node] = MAX_MISSES
+
+    def pick(self, datagram: bytes) -> str | None:
+        """Returns the balancer of a packet, by a hash of its flow."""
+        nodes = [node for node, misses in self.misses.items() if misses < MAX_MISSES]
+        nodes = nodes or list(self.misses)
+        flow = datagram[4:16]
+        return nodes[zlib.crc32(flow) % len(nodes)] if nodes else None
+
+    def _check(self) -> None:
+        self.clock.callLater(CHECK_INTERVAL_S, self._check)
+        for node in self.misses:
+
+            def done(status: int | None, body: bytes, node: str = node) -> None:
+                if node in self.misses:
+                    good = status == 200
+                    self.misses[node] = 0 if good else self.misses[node] + 1
+
+            self.calls.call(
+                "GET",
+                f"{node}:{self.ready_port}",
+                "/readiness",
+                timeout_s=CHECK_INTERVAL_S,
+                done=done,
+            )
+
+
+@dataclass(slots=True, kw_only=True)
+class CallerFlow:
+    """One flow of a caller.
+
+    Attributes:
+        state: ``opening``, ``open``, ``reset`` or ``not opened``.
+        answers: Answers by request.
+    """
+
+    caller: Callers
+    source: End
+    target: End
+    sequence: int
+    first: int = 0
+    state: str = "opening"
+    answers: dict[bytes, bytes] = field(default_factory=dict)
+    opened: Callable[[], None] = lambda: None
+
+    def start(self) -> None:
+        """Sends the opening packet and its copies."""
+        for copy, after in enumerate(SYN_COPIES_S):
+            self.caller.clock.callLater(after, self._syn, copy)
+        self.caller.clock.callLater(GIVE_UP_S, self._check)
+
+    def request(self, text: bytes) -> None:
+        """Sends a request, and again until its answer is there."""
+        self._send_request(text, 0)
+
+    def finish(self) -> None:
+        """Says that no more requests follow."""
+        self._send(FIN | ACK)
+
+    def received(self, segment: Segment) -> None:
+        """Takes a packet for this flow."""
+        if segment.flags & RST:
+            self.state = "reset"
+        elif segment.flags & SYN and self.state == "opening":
+            self.state = "open"
+            self.first = segment.sequence
+            self.opened()
+        elif segment.payload:
+            text = segment.payload.partition(b" ")[2]
+            self.answers[text] = segment.payload
+
+    def _syn(self, copy: int) -> None:
+        if self.state == "opening":
+            packet = Segment(self.source, self.target, SYN, self.sequence, copy)
+            self.caller.send(packet)
+
+    def _check(self) -> None:
+        if self.state == "opening":
+            self.state = "not opened"
+
+    def _send_request(self, text: bytes, tries: int) -> None:
+        if self.state != "open" or text in self.answers:
+            return
+        self._send(ACK, payload=text)
+        if tries < len(RETRANSMIT_S):
+            after = RETRANSMIT_S[tries]
+            self.caller.clock.callLater(after, self._send_request, text, tries + 1)
+
+    def _send(self, flags: int, *, payload: bytes = b"") -> None:
+        self.caller.send(
+            Segment(
+                self.source,
+                self.target,
+                flags,
+                self.sequence + 1,
+                self.first + 1,
+                payload,
+            )
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class Callers:
+    """A VM of callers, with one socket for all their flows.
+
+    Attributes:
+        forged: Packets whose sum was wrong, but for resets of the system.
+    """
+
+    reactor: Any
+    clock: Clock
+    ip: str
+    routers: Routers
+    ports: Any = field(default_factory=lambda: itertools.count(20_000))
+    flows: dict[int, CallerFlow] = field(default_factory=dict)
+    forged: int = 0
+    socket: Any = None
+
+    def start(self) -> None:
+        """Opens the socket."""
+        self.socket = RawDatagrams(
+            reactor=self.reactor,
+            endpoint=f"{self.ip}:{self.routers.packet_port}",
+            receive=self._packet,
+            count=lambda _: None,
+            after_batch=lambda: None,
+        )
+
+    def open(self, target: End) -> CallerFlow:
+        """Opens a flow."""
+        port = next(self.ports)
+        flow = CallerFlow(
+            caller=self, source=(self.ip, port), target=target, sequence=port * 1_000
+        )
+        self.flows[port] = flow
+        flow.start()
+        return flow
+
+    def send(self, segment: Segment) -> None:
+        """Sends a packet through the routers."""
+        datagram = segment.encode()
+        node = self.routers.pick(datagram)
+        if node is not None:
+            self.socket.send(datagram, node, self.routers.packet_port)
+
+    def _packet(self, datagram: bytes, sender: str) -> None:
+        segment, whole = decode(datagram)
+        if not whole and not segment.flags & RST:
+            self.forged += 1
+        flow = self.flows.get(segment.target[1])
+        if flow is not None and segment.source == flow.target:
+            flow.received(segment)
--- /dev/null
+++ b/src/bramleydyke/standins/platform_vm/store.py
@@ -0,0 +1,161 @@
+"""The platform's metadata store: objects, conditions, watches and outages."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl
+
+from bramleydyke.adapters.http_server import HttpReply, LaterReply, listen_http
+from bramleydyke.ports import Clock, DelayedCall
+
+HISTORY = 1_000
+"""Changes that a watch can look back on."""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A watch without an event yet."""
+
+    kind: str
+    revision: int
+    answer: LaterReply
+    timer: DelayedCall
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreStandIn:
+    """The store, in memory.
+
+    Attributes:
+        down: True while calls get no answer.
+        lost: Share of the writes that take effect without an answer.
+        calls: Number of calls so far.
+    """
+
+    clock: Clock
+    random_source: random.Random
+    down: bool = False
+    lost: float = 0.0
+    calls: int = 0
+    revision: int = 1
+    objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    history: deque[tuple[int, str, dict[str, Any], bool]] = field(
+        default_factory=lambda: deque(maxlen=HISTORY)
+    )
+    forgotten: int = 0
+    watches: list[Waiting] = field(default_factory=list)
+
+    def listen(self, reactor: Any, endpoint: str) -> Any:
+        """Serves the store at ``ip:port``."""
+        return listen_http(reactor, endpoint, self.handle)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object as the operator does, whatever its revision."""
+        self._store(kind, name, spec)
+
+    def compact(self) -> None:
+        """Drops the history and cuts all watches."""
+        self.forgotten = self.revision
+        self.history.clear()
+        for waiting in self.watches:
+            waiting.timer.cancel()
+            waiting.answer(HttpReply(410))
+        self.watches.clear()
+
+    def handle(self, method: str, target: str, body: bytes) -> HttpReply | LaterReply:
+        """Answers a call."""
+        self.calls += 1
+        if self.down:
+            return LaterReply()
+        path, _, query = target.partition("?")
+        parts = path.split("/")[2:]
+        kind, name = parts[0], parts[1] if len(parts) > 1 else ""
+        options = dict(parse_qsl(query))
+        if method == "GET":
+            return self._read(kind, name, options)
+        reply = self._write(method, kind, name, options, body)
+        if self.random_source.random() < self.lost:
+            return LaterReply()
+        return reply
+
+    def _read(
+        self, kind: str, name: str, options: dict[str, str]
+    ) -> HttpReply | LaterReply:
+        if name:
+            found = self.objects.get((kind, name))
+            return HttpReply(404) if found is None else _json(200, found)
+        if "watch" in options:
+            return self._watch(
+                kind, int(options["watch"]), int(options["wait_ms"]) / 1_000
+            )
+        items = [item for (of, _), item in sorted(self.objects.items()) if of == kind]
+        return _json(200, {"items": items, "more": False, "current_rev": self.revision})
+
+    def _watch(self, kind: str, revision: int, wait_s: float) -> HttpReply | LaterReply:
+        if revision < self.forgotten:
+            return HttpReply(410)
+        events = self._events(kind, revision)
+        if events:
+            return _json(200, {"events": events, "current_rev": self.revision})
+        answer = LaterReply()
+        timer = self.clock.callLater(wait_s, self._end_watch, answer)
+        self.watches.append(Waiting(kind, revision, answer, timer))
+        return answer
+
+    def _end_watch(self, answer: LaterReply) -> None:
+        self.watches = [one for one in self.watches if one.answer is not answer]
+        answer(_json(200, {"events": [], "current_rev": self.revision}))
+
+    def _events(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        return [
+            {"object": item, "removed": removed}
+            for at, of, item, removed in self.history
+            if at > revision and of == kind
+        ]
+
+    def _write(
+        self, method: str, kind: str, name: str, options: dict[str, str], body: bytes
+    ) -> HttpReply:
+        sent = json.loads(body) if body else {}
+        name = name or sent["meta"]["name"]
+        found = self.objects.get((kind, name))
+        expected = options.get("revision") or sent.get("meta", {}).get("revision")
+        if method == "POST":
+            if found is not None:
+                return _json(409, found)
+            return _json(201, self._store(kind, name, sent["spec"]))
+        if found is None:
+            return HttpReply(404)
+        if expected is not None and int(expected) != found["meta"]["revision"]:
+            return _json(409, found)
+        if method == "DELETE":
+            del self.objects[kind, name]
+            self._changed(kind, found, removed=True)
+            return _json(200, {})
+        if sent["spec"] == found["spec"]:
+            return _json(200, found)
+        return _json(200, self._store(kind, name, sent["spec"]))
+
+    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        item = {"meta": {"name": name, "revision": self.revision + 1}, "spec": spec}
+        self.objects[kind, name] = item
+        self._changed(kind, item, removed=False)
+        return item
+
+    def _changed(self, kind: str, item: dict[str, Any], *, removed: bool) -> None:
+        self.revision += 1
+        self.history.append((self.revision, kind, item, removed))
+        due = [one for one in self.watches if one.kind == kind]
+        self.watches = [one for one in self.watches if one.kind != kind]
+        for waiting in due:
+            waiting.timer.cancel()
+            events = self._events(kind, waiting.revision)
+            waiting.answer(_json(200, {"events": events, "current_rev": self.revision}))
+
+
+def _json(status: int, document: Any) -> HttpReply:
+    return HttpReply(status, json.dumps(document).encode())
--- a/tests/adapters/test_operator.py
+++ b/tests/adapters/test_operator.py
@@ -291,7 +291,7 @@
 
 def test_operator_page_explains_every_error_kind() -> None:
     """Guards against a refusal that an operator cannot look up."""
-    page = (ROOT / "docs" / "operations.md").read_text()
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     rows = [line for line in page.splitlines() if line.startswith("| `")]
     for kind in ErrorKind:
         assert sum(row.startswith(f"| `{kind.value}` |") for row in rows) == 1, kind
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -45,9 +45,9 @@
         return HttpReply(200, f"{method} {path} ".encode() + body)
 
     endpoint = f"127.0.0.1:{free_port()}"
-    port = listen_http(reactor, endpoint, handle)
+    listener = listen_http(reactor, endpoint, handle)
     yield endpoint, later
-    port.stopListening()
+    listener.close()
 
 
 def calls() -> HttpCalls:
@@ -70,7 +70,7 @@
             done=lambda status, body: seen.append((status, body)),
         )
         spin(lambda count=number + 1: len(seen) == count)
-    assert seen == [(200, b"PUT /x%d body" % n) for n in range(3)]
+    assert seen == [(200, b"PUT /x%d?a=1 body" % n) for n in range(3)]
     assert len(client.unused[endpoint]) == 1
     client.close()
 
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,177 @@
+"""The programs as they run on the platform, over its stand-ins."""
+
+from __future__ import annotations
+
+import sys
+import time
+from itertools import count
+from pathlib import Path
+
+import pytest
+
+from bramleydyke.standins.platform_vm.system import (
+    PORTS,
+    REPORT_S,
+    ROUTE_IP,
+    PlatformSystem,
+)
+
+sys.path.append(str(Path(__file__).parent.parent / "adapters"))
+from reactor_harness import environment, reactor, spin  # noqa: E402
+
+BOARD, VAULT = 8443, 80
+NETWORKS = count(20)
+
+IN_FORCE_S = 3.0
+"""Time in which a change of the configuration must be in force."""
+
+
+@pytest.fixture
+def system():
+    environment()
+    made = PlatformSystem(reactor=reactor, network=f"127.{next(NETWORKS)}")
+    made.start({BOARD: "board", VAULT: "vault"})
+    for number in (1, 2):
+        made.add_balancer(number)
+    for number, service in enumerate(("board", "board", "board", "vault"), start=1):
+        made.add_upstream(number, service)
+    spin(lambda: all(misses == 0 for misses in made.routers.misses.values()))
+    yield made
+    assert made.callers.forged == 0
+    assert all(upstream.forged == 0 for upstream in made.upstreams.values())
+    made.close()
+
+
+def open_flows(system, number, port=BOARD):
+    flows = [system.callers.open((ROUTE_IP, port)) for _ in range(number)]
+    spin(lambda: all(flow.state == "open" for flow in flows))
+    return flows
+
+
+def kill(system, ip: str) -> None:
+    """Ends a process; its sockets are closed in the next turns."""
+    system.kill(ip)
+    for _ in range(3):
+        reactor.iterate(0.01)
+
+
+def open_when_in_force(system, port: int) -> float:
+    """Opens flows until one is not refused; returns the seconds it took."""
+    started = time.monotonic()
+    tried = [system.callers.open((ROUTE_IP, port))]
+
+    def opened() -> bool:
+        if tried[-1].state == "reset":
+            tried.append(system.callers.open((ROUTE_IP, port)))
+        return tried[-1].state == "open"
+
+    spin(opened)
+    return time.monotonic() - started
+
+
+def ask(flows, text: bytes):
+    for flow in flows:
+        flow.request(text)
+    spin(lambda: all(text in flow.answers for flow in flows))
+
+
+def test_requests_reach_their_service_and_load_is_spread(system):
+    flows = open_flows(system, 30)
+    ask(flows, b"q1")
+    assert {flow.answers[b"q1"] for flow in flows} == {b"board q1"}
+    [vault] = open_flows(system, 1, VAULT)
+    ask([vault], b"q2")
+    assert vault.answers[b"q2"] == b"vault q2"
+    board = [u for u in system.upstreams.values() if u.service == "board"]
+    assert sum(u.ran[b"q1"] for u in board) >= 30
+    assert all(5 <= u.ran[b"q1"] <= 20 for u in board)
+
+
+def test_flows_survive_the_loss_of_a_balancer_and_a_restart_of_an_agent(system):
+    flows = open_flows(system, 12)
+    ask(flows, b"q1")
+    kill(system, f"{system.network}.1.1")
+    ask(flows, b"q2")
+    kill(system, f"{system.network}.2.1")
+    system.start_agent(1, "board")
+    ask(flows, b"q3")
+    assert {flow.state for flow in flows} == {"open"}
+
+
+def test_a_new_manifest_is_in_force_and_ends_dropped_routes(system):
+    flows = open_flows(system, 4)
+    [kept] = open_flows(system, 1, VAULT)
+    system.configure({VAULT: "vault", 9000: "board"})
+    assert open_when_in_force(system, 9000) < IN_FORCE_S
+    for flow in flows:
+        flow.request(b"q")
+    spin(lambda: all(flow.state == "reset" for flow in flows))
+    ask([kept], b"q")
+
+
+def test_a_drained_upstream_takes_no_new_flow_and_keeps_the_open_ones(system):
+    flows = open_flows(system, 12)
+    upstream = next(iter(system.upstreams.values()))
+    upstream.draining = True
+    spin(lambda: upstream.acknowledged_drain)
+    drained_at = time.monotonic()
+    open_flows(system, 20)
+    assert upstream.taken_at <= drained_at
+    ask(flows, b"q")
+
+
+def test_new_flows_open_while_the_store_is_down(system):
+    system.store.down = True
+    ask(open_flows(system, 6), b"q")
+    upstream = next(iter(system.upstreams.values()))
+    upstream.draining = True
+    started = time.monotonic()
+    spin(lambda: upstream.acknowledged_drain)
+    assert time.monotonic() - started < 1.0 + 2 * REPORT_S
+
+
+def test_all_processes_restart_and_serve_from_the_store(system):
+    flows = open_flows(system, 8)
+    for ip in list(system.nodes):
+        kill(system, ip)
+    for number in (1, 2):
+        system.add_balancer(number)
+    for number, service in enumerate(("board", "board", "board", "vault"), start=1):
+        system.start_agent(number, service)
+    ask(flows, b"after")
+    ask(open_flows(system, 8), b"new")
+    assert {flow.state for flow in flows} == {"open"}
+
+
+def test_a_lost_history_and_lost_answers_delay_nothing_for_long(system):
+    system.store.lost = 0.5
+    system.store.compact()
+    system.configure({BOARD: "board", VAULT: "vault", 9001: "board"})
+    assert open_when_in_force(system, 9001) < IN_FORCE_S
+    system.store.lost = 0.0
+    system.add_upstream(9, "board")
+    name = f"{system.network}.2.9"
+    kind = "bramleydyke-upstreams"
+    spin(lambda: (kind, name) in system.store.objects)
+
+
+def test_dead_flows_are_reset_once_their_upstream_is_known_to_be_new(system):
+    [flow] = open_flows(system, 1, VAULT)
+    ip = f"{system.network}.2.4"
+    system.upstreams[ip].stop()
+    kill(system, ip)
+    system.add_upstream(4, "vault")
+    spin(lambda: system.upstreams[ip].sequence > 2)
+    flow.request(b"q")
+    spin(lambda: flow.state == "reset")
+
+
+def test_metrics_and_readiness_of_a_stopping_balancer(system):
+    node = system.nodes[f"{system.network}.1.1"]
+    assert node.ready()
+    node.reactor = type("Quiet", (), {"stop": lambda self: None})()
+    node.terminate()
+    assert not node.ready()
+    flows = open_flows(system, 4)
+    ask(flows, b"q")
+    assert PORTS["ready"] in {server.port.getHost().port for server in node.servers}
