--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: $(VENV)/.installed
 	$(PY) -m bramleydyke.demo
+	$(PY) -m bramleydyke.demo.direct
 
 test: lint
 	$(MAKE) -j2 --output-sync=target unit behave
--- /dev/null
+++ b/src/bramleydyke/demo/direct.py
@@ -0,0 +1,177 @@
+"""Demo of the direct mode on the platform's stand-ins, in one reactor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import click
+import msgspec
+
+from bramleydyke.standins.platform_vm.ends import CallerFlow
+from bramleydyke.standins.platform_vm.system import ROUTE_IP, PlatformSystem
+
+BOARD, VAULT = 8443, 80
+ROUTES = {BOARD: "board", VAULT: "vault"}
+SERVICES = ("board", "board", "board", "vault", "vault")
+LONG_FLOWS = 12
+"""Flows that stay open all the time, on each route."""
+
+START_S = 1.5
+RUN_S = 12.0
+SETTLE_S = 4.0
+"""Time for the last requests, with their retransmissions."""
+
+REQUEST_INTERVAL_S = 0.1
+
+NOT_OPENED_LIMIT = 10
+"""Flows that may fail to open: those of the second in which a balancer died.
+
+The routers leave it out after two failed checks, when all copies are sent.
+"""
+
+
+class DirectDemo:
+    """Traffic and changes, on a schedule.
+
+    Attributes:
+        flows: Long flows, and one for each short request.
+        asked: Requests of each flow.
+    """
+
+    def __init__(self, reactor: Any, *, seed: int, say: Callable[[str], None]) -> None:
+        self.system = PlatformSystem(reactor=reactor, network="127.10", seed=seed)
+        self.clock = self.system.clock
+        self.say = say
+        self.flows: list[CallerFlow] = []
+        self.asked: dict[int, list[bytes]] = {}
+        self.number = 0
+
+    def run(self, finish: Callable[[dict[str, Any]], None]) -> None:
+        """Starts everything; calls ``finish`` with the result."""
+        system = self.system
+        system.start(ROUTES)
+        for number in (1, 2, 3):
+            system.add_balancer(number)
+        for number, service in enumerate(SERVICES, start=1):
+            system.add_upstream(number, service)
+        first = system.upstreams[f"{system.network}.2.1"]
+        steps: list[tuple[float, str, Callable[[], object]]] = [
+            (2.0, "a balancer is killed", lambda: self._kill(1, 1)),
+            (3.5, "a balancer joins", lambda: system.add_balancer(4)),
+            (4.5, "an agent is killed", lambda: self._kill(2, 2)),
+            (5.0, "the agent is back", lambda: system.start_agent(2, SERVICES[1])),
+            (6.0, "an upstream drains", lambda: setattr(first, "draining", True)),
+            (7.0, "the store is down", lambda: setattr(system.store, "down", True)),
+            (9.0, "the store is back", lambda: setattr(system.store, "down", False)),
+            (9.5, "a route is added", lambda: system.configure(ROUTES | {81: "vault"})),
+        ]
+        self.clock.callLater(START_S, self._open_long_flows)
+        for after, text, step in steps:
+            self.clock.callLater(START_S + after, self._step, text, step)
+        end = START_S + RUN_S + SETTLE_S
+        self.clock.callLater(end, lambda: finish(self.result()))
+
+    def result(self) -> dict[str, Any]:
+        """Returns what happened so far."""
+        requests = [
+            (flow, text) for flow in self.flows for text in self.asked[id(flow)]
+        ]
+        answered = [(f, t) for f, t in requests if t in f.answers]
+        upstreams = list(self.system.upstreams.values())
+        services = {BOARD: b"board", VAULT: b"vault"}
+        wrong = [f for f, t in answered if services[f.target[1]] not in f.answers[t]]
+        return {
+            "requests": len(requests),
+            "answered": len(answered),
+            "wrong_service": len(wrong),
+            "flows": len(self.flows),
+            "flows_reset": sum(flow.state == "reset" for flow in self.flows),
+            "flows_not_opened": sum(flow.state == "not opened" for flow in self.flows),
+            "changed_packets": sum(u.forged for u in upstreams)
+            + self.system.callers.forged,
+            "drain_acknowledged": any(u.acknowledged_drain for u in upstreams),
+            "store_calls": self.system.store.calls,
+        }
+
+    def _kill(self, part: int, number: int) -> None:
+        self.system.kill(f"{self.system.network}.{part}.{number}")
+
+    def _step(self, text: str, step: Callable[[], object]) -> None:
+        self.say(text)
+        step()
+
+    def _open(self, port: int) -> CallerFlow:
+        flow = self.system.callers.open((ROUTE_IP, port))
+        self.flows.append(flow)
+        self.asked[id(flow)] = []
+        return flow
+
+    def _open_long_flows(self) -> None:
+        for port in ROUTES:
+            for _ in range(LONG_FLOWS):
+                self._open(port)
+        self.end_at = self.clock.seconds() + RUN_S
+        self.clock.callLater(REQUEST_INTERVAL_S, self._requests)
+
+    def _requests(self) -> None:
+        if self.clock.seconds() >= self.end_at:
+            return
+        self.clock.callLater(REQUEST_INTERVAL_S, self._requests)
+        for flow in self.flows[: 2 * LONG_FLOWS : 3]:
+            if flow.state == "open":
+                self._ask(flow)
+        short = self._open(BOARD if self.number % 3 else VAULT)
+        short.opened = lambda: self._ask(short)
+
+    def _ask(self, flow: CallerFlow) -> None:
+        self.number += 1
+        text = b"%d" % self.number
+        self.asked[id(flow)].append(text)
+        flow.request(text)
+
+
+def broken_promises(result: dict[str, Any]) -> list[str]:
+    """Returns what the system promises and the run did not show."""
+    checks = {
+        "every request was answered": result["answered"] == result["requests"] > 0,
+        "no request reached another service": result["wrong_service"] == 0,
+        "no flow was reset": result["flows_reset"] == 0,
+        "flows opened": result["flows_not_opened"] <= NOT_OPENED_LIMIT,
+        "no packet was changed": result["changed_packets"] == 0,
+        "the drain was acknowledged": result["drain_acknowledged"],
+    }
+    return [text for text, holds in checks.items() if not holds]
+
+
+def run_direct_demo(*, seed: int) -> int:
+    """Runs the demo; returns 0 if all that is promised held, else 1."""
+    from twisted.internet import reactor as any_reactor
+
+    # Importing the reactor installs it, so only programs do so.
+    reactor: Any = any_reactor
+    results: list[dict[str, Any]] = []
+
+    def finish(result: dict[str, Any]) -> None:
+        results.append(result)
+        reactor.callLater(0, reactor.stop)
+
+    demo = DirectDemo(reactor, seed=seed, say=click.echo)
+    reactor.callWhenRunning(demo.run, finish)
+    reactor.run()
+    faults = broken_promises(results[0]) if results else ["it was interrupted"]
+    for fault in faults:
+        click.echo(f"does not hold: {fault}")
+    click.echo(msgspec.json.encode(results).decode())
+    return 1 if faults else 0
+
+
+@click.command()
+@click.option("--seed", type=int, default=1, help="Seed of the store's random source.")
+def main(seed: int) -> None:
+    """Runs balancers and agents over the stand-ins of the platform."""
+    raise SystemExit(run_direct_demo(seed=seed))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -164,6 +164,15 @@
 BALANCER_LIST_S = 10.0
 """Interval of lists of the balancers, which also tell of themselves."""
 
+CONFIG_PAUSE_S = 0.3
+"""Pause after a change of the configuration, a tenth of the allowed 3 s.
+
+In a storm one call brings several versions, of which only the last matters.
+"""
+
+UPSTREAM_PAUSE_S = 1.0
+"""Pause after changes of upstreams, which agents also announce themselves."""
+
 CONFIG_POLL_S = 1.0
 """Interval of plain reads of the configuration beside the watch.
 
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -33,6 +33,7 @@
         listed: Takes a whole listing.
         changed: Takes the changes of a watch.
         poll_s: Returns the interval of lists beside the watch; None: no lists.
+        pause_s: Pause after changes, which the next watch returns together.
         on_lost: Called when the store no longer answers.
         lost: True while the store does not answer.
     """
@@ -46,6 +47,7 @@
     count: Count
     record: Record
     poll_s: Callable[[], float] | None = None
+    pause_s: float = 0.0
     on_lost: Callable[[], None] = lambda: None
     lost: bool = False
     failures: int = 0
@@ -86,7 +88,10 @@
         if status is CallStatus.OK and changes is not None:
             self._regained()
             self.changed(changes)
-            self._watch(changes.revision)
+            if self.pause_s and changes.changes:
+                self.clock.callLater(self.pause_s, self._watch, changes.revision)
+            else:
+                self._watch(changes.revision)
         elif status is CallStatus.HISTORY_GONE:
             self.count(f"store.{self.kind.value}.history_gone")
             self._list()
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -10,9 +10,11 @@
 
 from bramleydyke.direct.constants import (
     BALANCER_LIST_S,
+    CONFIG_PAUSE_S,
     CONFIG_POLL_S,
     CONFIG_POLL_SHARE_S,
     STORE_BACKOFF_CAP_S,
+    UPSTREAM_PAUSE_S,
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.kind_watch import KindWatch
@@ -109,12 +111,14 @@
                 self._routes_listed,
                 self._routes_changed,
                 poll_s=self.poll_interval_s,
+                pause_s=CONFIG_PAUSE_S,
             ),
             self._watch(
                 Kind.UPSTREAMS,
                 self._upstreams_listed,
                 self._upstreams_changed,
                 on_lost=self._upstreams_lost,
+                pause_s=UPSTREAM_PAUSE_S,
             ),
         ]
         for watch in self.watches:
@@ -157,6 +161,7 @@
         *,
         poll_s: Callable[[], float] | None = None,
         on_lost: Callable[[], None] = lambda: None,
+        pause_s: float = 0.0,
     ) -> KindWatch:
         return KindWatch(
             kind=kind,
@@ -169,6 +174,7 @@
             record=self.record,
             poll_s=poll_s,
             on_lost=on_lost,
+            pause_s=pause_s,
         )
 
     # Configuration.
--- a/tests/direct/test_drain.py
+++ b/tests/direct/test_drain.py
@@ -84,7 +84,7 @@
 
 
 @pytest.mark.parametrize(
-    ("before", "event"), itertools.product(BEFORE, EVENTS), ids=" then ".join
+    ("before", "event"), list(itertools.product(BEFORE, EVENTS)), ids=" then ".join
 )
 def test_state_of_an_upstream(before, event):
     view = view_of()
--- a/tests/direct/test_kind_watch.py
+++ b/tests/direct/test_kind_watch.py
@@ -7,7 +7,15 @@
 from twisted.internet.task import Clock
 
 from bramleydyke.direct.kind_watch import KindWatch
-from bramleydyke.direct.store import CallStatus, Changes, Kind, Listing, Revision
+from bramleydyke.direct.store import (
+    CallStatus,
+    Change,
+    Changes,
+    Kind,
+    Listing,
+    Revision,
+    StoredObject,
+)
 
 
 class ScriptedStore:
@@ -97,3 +105,15 @@
     store.lists.pop()(CallStatus.LOST, None)
     clock.advance(10.0)
     assert store.lists == [] and store.watches == []
+
+
+def test_pauses_after_changes_so_that_one_call_brings_several():
+    store, clock = ScriptedStore(), Clock()
+    watch, _, _ = watch_of(store, clock, pause_s=0.3)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    change = Change(StoredObject("main", Revision(6), None), False)
+    store.watches.pop()[1](CallStatus.OK, Changes([change], Revision(6)))
+    assert store.watches == []
+    clock.advance(0.3)
+    assert store.watches.pop()[0] == 6
