Agents that cannot know a flow say so

Cause: an agent that had just restarted left lookups unanswered and was taken for silent, so lookups after a loss of power made each other fail.

Change: such agents answer Unsure and try their upstream only when all others have answered.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -201,22 +201,22 @@
     Mutation(
         "reset_without_knowing_all",
         "lookups.py",
-        "dead = self.directory.complete and not alive",
-        "dead = not alive",
+        "dead = self.directory.complete and not unknown",
+        "dead = not unknown",
         "direct",
     ),
     Mutation(
         "reset_before_all_answered",
         "lookups.py",
-        "complete and not alive and not lookup",
+        "complete and not unknown and not lookup",
         "complete and not lookup",
         "direct",
     ),
     Mutation(
         "try_all_upstreams_at_once",
         "lookups.py",
-        "probe = not lookup.awaited and not any(",
-        "probe = True or not any(",
+        "stage = lookup.stages.pop(0)",
+        "stage = lookup.stages.pop(0)._replace(probe=True)",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -30,6 +30,7 @@
     Missing,
     Placed,
     Refused,
+    Unsure,
 )
 from bramleydyke.direct.ports import (
     Count,
@@ -212,7 +213,7 @@
             self._not_here(sender, message, packet)
             return
         if message.seek and not message.probe:
-            self.count(counter_name(ErrorKind.FLOW_SILENT))
+            self.send(sender, Unsure(packet.flow))
             return
         self.probes[packet.flow] = Probe(sender, message.seek)
         self._hand_over(packet)
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -18,6 +18,7 @@
     Placed,
     Refused,
     Relayed,
+    Unsure,
 )
 from bramleydyke.direct.openings import Openings
 from bramleydyke.direct.ports import Count, PacketCodec, Record, Send, SendToCaller
@@ -94,6 +95,8 @@
                 self._missing(sender, message, now=now)
             case Absent():
                 self.lookups.absent(message.flow, sender, now=now)
+            case Unsure():
+                self.lookups.unsure(message.flow, sender, now=now)
             case Announcement():
                 if self.announced(message, now=now, source="agent"):
                     self.spread.relay(message)
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -122,14 +122,6 @@
         silent = now - entry.heard_at > DEAD_AGENT_S
         return silent and entry.failures >= DEAD_AGENT_FAILURES
 
-    def restarting(self, node: NodeIp, *, now: float) -> bool:
-        """Tells whether an agent is silent, but no longer than a restart."""
-        entry = self.entries.get(node)
-        if entry is None or now - entry.heard_at > DEAD_AGENT_S:
-            return False
-        paused = entry.announcement.state is UpstreamState.PAUSED
-        return paused or entry.failures > 0
-
     def refused(self, node: NodeIp, *, now: float) -> None:
         """Notes that an agent answers, but takes no new flow."""
         entry = self.entries.get(node)
--- a/src/bramleydyke/direct/lookups.py
+++ b/src/bramleydyke/direct/lookups.py
@@ -2,7 +2,11 @@
 
 Routers may send the packets of a flow to any balancer. The likeliest holders
 follow from the flow's owner order; after them all agents of the service are
-asked. Only the holder hands the packet to its upstream and answers.
+asked. Only the holder hands the packet to its upstream.
+
+An agent that has just restarted does not know what its upstream holds. It
+tries the packet there only if all others that were asked have answered: while
+the holder itself restarts, the packet must not reach many other upstreams.
 """
 
 from __future__ import annotations
@@ -10,6 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import chain
+from typing import NamedTuple
 
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.constants import (
@@ -29,6 +34,14 @@
 Asked = tuple[NodeIp, ServiceId]
 
 
+class Stage(NamedTuple):
+    """Agents that are asked together."""
+
+    agents: list[Asked]
+    probe: bool = False
+    """True if they may try the packet at their upstreams."""
+
+
 @dataclass(slots=True)
 class Lookup:
     """A flow whose holder is sought.
@@ -37,13 +50,17 @@
         packet: The packet that the agents are asked about.
         stages: Agents to ask, in groups.
         awaited: Agents that have been asked and have not answered.
+        undecided: Agents that must try their upstreams to know.
+        services: Service of each agent that has been asked.
         held: Later packets of the flow.
         partial: True if there are too many agents to ask them all.
     """
 
     packet: Packet
-    stages: list[list[Asked]]
+    stages: list[Stage]
     awaited: set[NodeIp] = field(default_factory=set)
+    undecided: list[Asked] = field(default_factory=list)
+    services: dict[NodeIp, ServiceId] = field(default_factory=dict)
     held: list[Packet] = field(default_factory=list)
     partial: bool = False
 
@@ -90,11 +107,23 @@
         lookup = self.waiting.get(flow)
         if lookup is None:
             return
+        self._answered(flow, lookup, node, now=now)
+
+    def unsure(self, flow: FlowTuple, node: NodeIp, *, now: float) -> None:
+        """Notes that an agent has to try its upstream to know."""
+        self.directory.answered(node, now=now)
+        lookup = self.waiting.get(flow)
+        if lookup is None or node not in lookup.services:
+            return
+        lookup.undecided.append((node, lookup.services[node]))
+        self._answered(flow, lookup, node, now=now)
+
+    def _answered(
+        self, flow: FlowTuple, lookup: Lookup, node: NodeIp, *, now: float
+    ) -> None:
         lookup.awaited.discard(node)
-        if not lookup.awaited and lookup.stages:
+        if not lookup.awaited:
             self._next_stage(flow, lookup, now=now)
-        elif not lookup.awaited:
-            self._conclude(flow, lookup, now=now)
 
     def wake(self, *, now: float) -> None:
         """Asks more agents about the flows that were not found."""
@@ -102,10 +131,7 @@
             lookup = self.waiting.get(flow)
             if lookup is None:
                 continue
-            if lookup.stages:
-                self._next_stage(flow, lookup, now=now)
-            else:
-                self._conclude(flow, lookup, now=now)
+            self._next_stage(flow, lookup, now=now)
 
     def _conclude(self, flow: FlowTuple, lookup: Lookup, *, now: float) -> None:
         """Ends a lookup without a holder.
@@ -117,8 +143,8 @@
         self.timers.cancel(flow)
         for node in lookup.awaited:
             self.directory.silent(node, now=now)
-        alive = [n for n in lookup.awaited if not self.directory.dead(n, now=now)]
-        dead = self.directory.complete and not alive and not lookup.partial
+        unknown = self._unanswered(lookup, now=now) or lookup.undecided
+        dead = self.directory.complete and not unknown and not lookup.partial
         action = "reset" if dead else "dropped"
         self.count(counter_name(ErrorKind.FLOW_SILENT, action=action))
         self.record(
@@ -150,17 +176,27 @@
         ]
         partial = len(likely) + len(rest) + len(elsewhere) > MAX_LOOKUP_AGENTS
         stages = [likely, rest, [] if partial else elsewhere]
-        return Lookup(packet, [stage for stage in stages if stage], partial=partial)
+        return Lookup(packet, [Stage(s) for s in stages if s], partial=partial)
 
     def _next_stage(self, flow: FlowTuple, lookup: Lookup, *, now: float) -> None:
-        stage = lookup.stages.pop(0) if lookup.stages else []
-        wait = LOOKUP_STAGE_S if lookup.stages else LOOKUP_HOLD_S
-        self.timers.set(flow, now + wait)
-        # A holder that restarts must not make others try their upstreams.
-        probe = not lookup.awaited and not any(
-            self.directory.restarting(node, now=now) for node, _ in stage
-        )
+        """Asks the next agents, or ends the lookup."""
+        if lookup.undecided and not self._unanswered(lookup, now=now):
+            stage = Stage(lookup.undecided, probe=True)
+            lookup.undecided = []
+        elif lookup.stages:
+            stage = lookup.stages.pop(0)
+        else:
+            self._conclude(flow, lookup, now=now)
+            return
+        more = lookup.stages or lookup.undecided
+        self.timers.set(flow, now + (LOOKUP_STAGE_S if more else LOOKUP_HOLD_S))
         datagram = lookup.packet.datagram
-        for node, service in stage:
+        for node, service in stage.agents:
             lookup.awaited.add(node)
-            self.send(node, Forward(service, True, Lifetime(0), datagram, probe))
+            lookup.services[node] = service
+            forward = Forward(service, True, Lifetime(0), datagram, stage.probe)
+            self.send(node, forward)
+
+    def _unanswered(self, lookup: Lookup, *, now: float) -> list[NodeIp]:
+        """Returns the agents that did not answer and may still run."""
+        return [n for n in lookup.awaited if not self.directory.dead(n, now=now)]
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -78,6 +78,12 @@
     flow: FlowTuple
 
 
+class Unsure(Message, tag=9):
+    """Agent to balancer: the upstream may hold a flow of earlier."""
+
+    flow: FlowTuple
+
+
 class Announcement(Message, tag=5):
     """State of an upstream; ordered by lifetime, sequence and revision."""
 
@@ -116,7 +122,15 @@
 
 
 MeshMessage = (
-    Forward | Placed | Refused | Missing | Absent | Announcement | Notice | Relayed
+    Forward
+    | Placed
+    | Refused
+    | Missing
+    | Absent
+    | Unsure
+    | Announcement
+    | Notice
+    | Relayed
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -7,7 +7,7 @@
 import pytest
 from network import OTHER, REPORT_S, ROUTE, Network, routes, system
 
-from bramleydyke.direct.constants import BUSY_PER_SLOT
+from bramleydyke.direct.constants import BUSY_PER_SLOT, DEAD_AGENT_S
 from bramleydyke.direct.types import NodeIp
 
 SEEDS = range(20)
@@ -277,3 +277,58 @@
     holder = network.holder(new)
     assert holder is not None and holder.service == OTHER
     assert new.flow.endswith(ROUTE)
+
+
+def restarted(seed: int, *, stale: int):
+    """Returns a network whose machines all lost power, and its dead flows.
+
+    Some agents never come back, but the store has entries of them.
+    """
+    network = system(seed, balancers=2, upstreams=12 + stale)
+    callers = opened(network, 60)
+    entries = [a.announcement(now=network.now) for a in network.agents.values()]
+    network.balancers.clear()
+    network.agents.clear()
+    for upstream in network.upstreams.values():
+        upstream.alive = False
+    network.run(1.0)
+    for number in range(12):
+        network.add_upstream(f"10.0.2.{number}")
+    # Reports fail until the agent runs, so the first one that arrives does
+    # not show that the upstream has just started.
+    for agent in network.agents.values():
+        agent.view.fresh = False
+    balancer = network.add_balancer("10.0.1.0")
+    for entry in entries:
+        balancer.announced(entry, now=network.now, source="store")
+    return network, balancer, callers
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lookups_suspect_no_agent_that_cannot_know_a_flow(seed):
+    """Agents that did not answer a lookup got no new flows.
+
+    With 54 upstreams, some of them silent, that went on for 15 s after all
+    machines had lost power.
+    """
+    network, balancer, callers = restarted(seed, stale=2)
+    for caller in callers[:30]:
+        caller.request()
+        network.run(0.02)
+    network.run(0.3)
+    alive = [f"10.0.2.{number}" for number in range(12)]
+    failing = [node for node in alive if balancer.directory.entries[node].failures]
+    assert not failing
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_entries_of_machines_that_are_gone_delay_resets_for_a_few_seconds(seed):
+    network, balancer, callers = restarted(seed, stale=2)
+    for caller in callers[:30]:
+        caller.request()
+        network.run(0.1)
+    network.run(DEAD_AGENT_S)
+    for caller in callers[30:]:
+        caller.request()
+    network.run(0.6)
+    assert {caller.ended for caller in callers[30:]} == {"reset"}
