--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -292,7 +292,7 @@
     Mutation(
         "poll_nothing",
         "kind_watch.py",
-        "            self.store.list(self.kind, self._on_poll)",
+        "            self.store.watch(self.kind, self.revision, 0.0, self._on_poll)",
         "            pass",
         "direct",
     ),
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qsl
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from bramleydyke.adapters.http_server import HttpReply
 from bramleydyke.daemons.direct import DirectNode, NewStore
 from bramleydyke.direct.balancer import Balancer
-from bramleydyke.direct.constants import BALANCER_LINGER_S, STORE_TIMEOUT_S
+from bramleydyke.direct.constants import BALANCER_LINGER_S, SNAPSHOT_TIMEOUT_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.entry_writer import EntryWriter
 from bramleydyke.direct.messages import Announcement
@@ -43,7 +44,8 @@
     """A balancer with its sockets.
 
     Attributes:
-        fetching: Balancers whose snapshot has been asked for.
+        fetching: True while a snapshot has been asked for.
+        empty: True until another balancer's upstreams have been taken.
     """
 
     def __init__(
@@ -63,7 +65,8 @@
         self.peer_calls = HttpCalls(
             reactor=reactor, clock=self.clock, content_type="application/msgpack"
         )
-        self.fetching: set[NodeIp] = set()
+        self.fetching = False
+        self.empty = True
         store: Store = new_store(reactor, self.clock, self.count)
         routes = Routes()
         directory = Directory(zone)
@@ -139,13 +142,16 @@
         super().close()
 
     def fetch(self, node: NodeIp, version: ConfigVersion) -> None:
-        """Asks another balancer for what this one may lack."""
-        if node in self.fetching:
+        """Asks another balancer for what this one may lack.
+
+        One at a time: several answers at once would fill a slow link.
+        """
+        if self.fetching:
             return
-        self.fetching.add(node)
+        self.fetching = True
 
         def done(status: int | None, body: bytes) -> None:
-            self.fetching.discard(node)
+            self.fetching = False
             if status != 200:
                 self.count("peers.fetch_failed")
                 return
@@ -154,8 +160,8 @@
         self.peer_calls.call(
             "GET",
             f"{node}:{self.settings.mesh_port}",
-            "/snapshot",
-            timeout_s=STORE_TIMEOUT_S,
+            f"/snapshot?version={self.role.routes.version}&all={self.empty:d}",
+            timeout_s=SNAPSHOT_TIMEOUT_S,
             done=done,
         )
 
@@ -168,15 +174,20 @@
         if snapshot.routes is not None:
             self.registry.apply_routes(snapshot.routes, source=node)
         now = self.clock.seconds()
+        self.empty = self.empty and not snapshot.upstreams
         for announcement in snapshot.upstreams:
             self.role.announced(announcement, now=now, source=node)
         self.arm()
 
-    def _snapshot_page(self, method: str, path: str, body: bytes) -> HttpReply:
-        upstreams = [
-            entry.announcement for entry in self.role.directory.entries.values()
-        ]
-        snapshot = Snapshot(self.role.routes.current, upstreams)
+    def _snapshot_page(self, method: str, target: str, body: bytes) -> HttpReply:
+        """Hands over newer routes, and all upstreams if they are asked for."""
+        asked = dict(parse_qsl(target.partition("?")[2]))
+        known = asked.get("version", "0")
+        routes = self.role.routes.current
+        newer = routes is not None and str(routes.version) != known
+        entries = self.role.directory.entries.values()
+        upstreams = [e.announcement for e in entries] if asked.get("all") == "1" else []
+        snapshot = Snapshot(routes if newer else None, upstreams)
         content = msgspec.msgpack.encode(snapshot)
         return HttpReply(200, content, "application/msgpack")
 
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -30,6 +30,7 @@
     Missing,
     Placed,
     Refused,
+    Seek,
     Unsure,
 )
 from bramleydyke.direct.ports import (
@@ -65,7 +66,8 @@
     """A packet of an unknown flow, handed over to learn of the flow."""
 
     balancer: NodeIp
-    seek: bool
+    sought: bool
+    """True if the balancer does not know the holder."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -105,6 +107,10 @@
 
     def message_in(self, sender: NodeIp, message: object, *, now: float) -> None:
         """Takes a message from a balancer."""
+        if isinstance(message, Seek):
+            self.add_balancer(sender)
+            self._sought(sender, message, now=now)
+            return
         if not isinstance(message, Forward):
             self.count(counter_name(ErrorKind.BAD_FRAME))
             return
@@ -192,10 +198,32 @@
             self.flows.finish(flow, caller=True)
         if packet.reset:
             self.flows.end(flow)
-        if message.seek:
+        if message.probe:
             self.send(sender, Placed(key, flow.lifetime, None, self.load(now=now)))
         self._hand_over(packet)
 
+    def _sought(self, sender: NodeIp, message: Seek, *, now: float) -> None:
+        """Tells a balancer whether the upstream holds a flow."""
+        key = message.flow
+        flow = self.flows.flows.get(key)
+        if flow is not None:
+            first = flow.first_sequence
+            answered = first is not None and acknowledges(message.acknowledged, first)
+            if flow.open or answered:
+                placed = Placed(key, flow.lifetime, None, self.load(now=now))
+                self.send(sender, placed)
+            else:
+                self.send(sender, Absent(key))
+        elif self._surely_absent(key, message.service, now=now):
+            self.send(sender, Absent(key))
+        else:
+            self.send(sender, Unsure(key))
+
+    def _surely_absent(self, key: FlowTuple, service: ServiceId, *, now: float) -> bool:
+        """Tells whether the upstream cannot hold a flow that is not known."""
+        known = self.view.fresh or now - self.started_at > FLOW_IDLE_S
+        return known or service != self.service or key in self.flows.absent
+
     def _unknown(
         self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
     ) -> None:
@@ -207,19 +235,14 @@
         if 0 < message.lifetime < self.view.lifetime:
             self._reset(packet, why="upstream restarted")
             return
-        known = self.view.fresh or now - self.started_at > FLOW_IDLE_S
-        foreign = message.service != self.service
-        if known or foreign or packet.flow in self.flows.absent:
+        if self._surely_absent(packet.flow, message.service, now=now):
             self._not_here(sender, message, packet)
             return
-        if message.seek and not message.probe:
-            self.send(sender, Unsure(packet.flow))
-            return
-        self.probes[packet.flow] = Probe(sender, message.seek)
+        self.probes[packet.flow] = Probe(sender, message.probe)
         self._hand_over(packet)
 
     def _not_here(self, sender: NodeIp, message: Forward, packet: Packet) -> None:
-        if message.seek:
+        if message.probe:
             self.send(sender, Absent(packet.flow))
         else:
             self.count(counter_name(ErrorKind.MOVED))
@@ -270,7 +293,7 @@
         self.flows.mark_absent(key)
         if probe is None:
             return
-        if probe.seek:
+        if probe.sought:
             self.send(probe.balancer, Absent(key))
         else:
             self.send(probe.balancer, Missing(key, packet.datagram))
@@ -311,7 +334,7 @@
         self.flows.add(key, flow)
         if probe is not None:
             flow.balancer = probe.balancer
-            if probe.seek:
+            if probe.sought:
                 self._tell_placed(key, flow, now=now)
         return flow
 
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -11,6 +11,9 @@
 only after 200 ms.
 """
 
+MAX_OPENING_RETRY_S = 0.4
+"""Limit of that wait where answers take longer, as on a link that is full."""
+
 BUSY_PER_SLOT = 4
 """Requests for each slot of an upstream above which it takes no new flow.
 
@@ -142,10 +145,10 @@
 PEER_IDLE_S = 10.0
 """A balancer that was not heard for this long gets fewer notices."""
 
-FRESH_CONFIG_S = 1.5
+FRESH_CONFIG_S = 1.0
 """Age of a confirmed configuration up to which it surely lacks no route.
 
-Half of the 3 s in which a change must be in force.
+A watch may miss changes for a second, and they must be in force after 3 s.
 """
 
 # Store.
@@ -182,6 +185,12 @@
 CONFIG_POLL_SHARE_S = 0.4
 """Interval of such reads over all balancers that hear each other."""
 
+FULL_POLL = 4
+"""Every so many polls the whole configuration is read, not only changes."""
+
+SNAPSHOT_TIMEOUT_S = 3.0
+"""Wait for another balancer's snapshot; some links have 5 Mbit/s."""
+
 STORE_BACKOFF_BASE_S = 0.1
 STORE_BACKOFF_CAP_S = 1.0
 """Limit of the pause between failed calls: half of the time to recover."""
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -9,6 +9,7 @@
 
 from bramleydyke.core.retry import backoff
 from bramleydyke.direct.constants import (
+    FULL_POLL,
     STORE_BACKOFF_BASE_S,
     STORE_BACKOFF_CAP_S,
     WATCH_WAIT_S,
@@ -32,9 +33,11 @@
     Attributes:
         listed: Takes a whole listing.
         changed: Takes the changes of a watch.
-        poll_s: Returns the interval of lists beside the watch; None: no lists.
+        poll_s: Returns the interval of calls beside the watch, if any.
         pause_s: Pause after changes, which the next watch returns together.
         on_lost: Called when the store no longer answers.
+        revision: Newest revision that an answer named.
+        polls: Number of calls beside the watch.
         lost: True while the store does not answer.
     """
 
@@ -51,6 +54,8 @@
     on_lost: Callable[[], None] = lambda: None
     lost: bool = False
     failures: int = 0
+    revision: Revision = Revision(0)
+    polls: int = 0
     stopped: bool = False
     pending: list[Any] = field(default_factory=list)
 
@@ -79,6 +84,7 @@
         self._watch(listing.revision)
 
     def _watch(self, revision: Revision) -> None:
+        self.revision = max(self.revision, revision)
         if not self.stopped:
             self.store.watch(self.kind, revision, WATCH_WAIT_S, self._on_watch)
 
@@ -128,10 +134,26 @@
         if self.stopped:
             return
         self._schedule_poll()
-        if not self.lost:
-            self.store.list(self.kind, self._on_poll)
+        if self.lost:
+            return
+        self.polls += 1
+        if self.polls % FULL_POLL:
+            self.store.watch(self.kind, self.revision, 0.0, self._on_poll)
+        else:
+            self.store.list(self.kind, self._on_full_poll)
+
+    def _on_poll(self, status: CallStatus, changes: Changes | None) -> None:
+        """Takes the changes since the last answer, which a watch may miss."""
+        if self.stopped:
+            return
+        if status is CallStatus.HISTORY_GONE:
+            self.store.list(self.kind, self._on_full_poll)
+        elif status is CallStatus.OK and changes is not None:
+            self.revision = max(self.revision, changes.revision)
+            self.changed(changes)
 
-    def _on_poll(self, status: CallStatus, listing: Listing | None) -> None:
-        """Takes a list beside the watch, which may miss changes."""
+    def _on_full_poll(self, status: CallStatus, listing: Listing | None) -> None:
+        """Takes a list beside the watch."""
         if not self.stopped and status is CallStatus.OK and listing is not None:
+            self.revision = max(self.revision, listing.revision)
             self.listed(listing)
--- a/src/bramleydyke/direct/lookups.py
+++ b/src/bramleydyke/direct/lookups.py
@@ -25,7 +25,7 @@
     MAX_LOOKUP_AGENTS,
 )
 from bramleydyke.direct.directory import Directory
-from bramleydyke.direct.messages import Forward
+from bramleydyke.direct.messages import Forward, Seek
 from bramleydyke.direct.ports import Count, Record, Send
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
@@ -53,6 +53,7 @@
         undecided: Agents that must try their upstreams to know.
         services: Service of each agent that has been asked.
         held: Later packets of the flow.
+        tried: True if the packet went to agents that try their upstreams.
         partial: True if there are too many agents to ask them all.
     """
 
@@ -63,6 +64,7 @@
     services: dict[NodeIp, ServiceId] = field(default_factory=dict)
     held: list[Packet] = field(default_factory=list)
     partial: bool = False
+    tried: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -99,7 +101,7 @@
         if lookup is None:
             return []
         self.timers.cancel(flow)
-        return lookup.held
+        return lookup.held if lookup.tried else [lookup.packet, *lookup.held]
 
     def absent(self, flow: FlowTuple, node: NodeIp, *, now: float) -> None:
         """Notes that an agent's upstream surely does not hold a flow."""
@@ -190,12 +192,16 @@
             return
         more = lookup.stages or lookup.undecided
         self.timers.set(flow, now + (LOOKUP_STAGE_S if more else LOOKUP_HOLD_S))
-        datagram = lookup.packet.datagram
+        packet = lookup.packet
+        lookup.tried = lookup.tried or stage.probe
         for node, service in stage.agents:
             lookup.awaited.add(node)
             lookup.services[node] = service
-            forward = Forward(service, True, Lifetime(0), datagram, stage.probe)
-            self.send(node, forward)
+            if stage.probe:
+                message: object = Forward(service, True, Lifetime(0), packet.datagram)
+            else:
+                message = Seek(flow, service, packet.acknowledged)
+            self.send(node, message)
 
     def _unanswered(self, lookup: Lookup, *, now: float) -> list[NodeIp]:
         """Returns the agents that did not answer and may still run."""
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -25,15 +25,13 @@
     """Balancer to agent: a caller's packet."""
 
     service: ServiceId
-    seek: bool
-    """True if the balancer does not know which agent holds the flow."""
+    probe: bool
+    """True if the agent shall try the flow at its upstream and tell."""
 
     lifetime: Lifetime
     """Upstream lifetime that opened the flow; 0 if not known."""
 
     datagram: bytes
-    probe: bool = False
-    """True if an agent that does not know the flow may try its upstream."""
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -46,6 +44,15 @@
     """The same, with a small part for each open flow."""
 
 
+class Seek(Message, tag=10):
+    """Balancer to agent: does the upstream hold a flow?"""
+
+    flow: FlowTuple
+    service: ServiceId
+    acknowledged: int
+    """What the caller acknowledges, which shows the upstream that it means."""
+
+
 class Placed(Message, tag=2):
     """Agent to balancer: the upstream holds a flow or is opening it."""
 
@@ -123,6 +130,7 @@
 
 MeshMessage = (
     Forward
+    | Seek
     | Placed
     | Refused
     | Missing
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -9,7 +9,6 @@
     CANDIDATES,
     MAX_OPENING_TRIES,
     MAX_PARKED,
-    OPENING_RETRY_S,
     PARK_RETRY_S,
     PARK_S,
 )
@@ -17,6 +16,7 @@
 from bramleydyke.direct.holders import Holder, Holders
 from bramleydyke.direct.messages import Forward, Placed, Refused
 from bramleydyke.direct.ports import Count, Record, Send, SendToCaller
+from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.routes import Route, pick_service
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
@@ -34,6 +34,7 @@
         candidates: Agents to ask, the best one first.
         priority: Priority of its route; 0 is the most urgent.
         until: End of its wait for an upstream, in seconds.
+        asked_at: When the last of them was asked, in seconds.
         asked: Number of them that have been asked.
     """
 
@@ -43,6 +44,7 @@
     until: float
     priority: int
     asked: int = 0
+    asked_at: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -62,6 +64,7 @@
     waiting: dict[FlowTuple, Opening] = field(default_factory=dict)
     parked: dict[FlowTuple, Opening] = field(default_factory=dict)
     timers: Timers[FlowTuple] = field(default_factory=Timers)
+    round_trip: RoundTrip = field(default_factory=RoundTrip)
 
     def packet_in(self, packet: Packet, route: Route, *, now: float) -> None:
         """Takes an opening packet or a copy of one."""
@@ -112,6 +115,7 @@
         opening = self.waiting.pop(message.flow, None)
         if opening is not None:
             self.timers.cancel(message.flow)
+            self._answered(opening, now=now)
             self.record(
                 "flow_placed",
                 flow=message.flow,
@@ -134,6 +138,7 @@
         opening = self.waiting.get(message.flow)
         if opening is None:
             return
+        self._answered(opening, now=now)
         if opening.candidates[opening.asked - 1] == node:
             self._ask_next(message.flow, now=now)
 
@@ -163,6 +168,7 @@
                 continue
             node = opening.candidates[opening.asked - 1]
             self.directory.silent(node, now=now)
+            self.round_trip.missed()
             self.count(counter_name(ErrorKind.AGENT_SILENT, action="retried"))
             self.record("opening_retried", flow=flow, agent=node, asked=opening.asked)
             self._ask_next(flow, now=now)
@@ -176,11 +182,17 @@
             return
         node = opening.candidates[opening.asked]
         opening.asked += 1
+        opening.asked_at = now
         self.directory.sent(node, now=now)
-        self.timers.set(flow, now + OPENING_RETRY_S)
+        self.timers.set(flow, now + self.round_trip.timeout_s())
         forward = Forward(opening.service, False, Lifetime(0), opening.packet.datagram)
         self.send(node, forward)
 
+    def _answered(self, opening: Opening, *, now: float) -> None:
+        """Measures the round trip, unless the answer may be to another ask."""
+        if opening.asked == 1:
+            self.round_trip.observe(now - opening.asked_at)
+
     def _park(self, opening: Opening, *, now: float) -> None:
         """Keeps an opening packet until an upstream is ready, for some time.
 
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -188,6 +188,7 @@
         for change in changes.changes:
             if not change.removed:
                 self._take_routes(change.object)
+        self.routes.confirm(now=self.clock.seconds())
 
     def _take_routes(self, stored: StoredObject) -> None:
         if isinstance(stored.value, RouteSet):
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -106,7 +106,7 @@
         self, kind: Kind, revision: Revision, wait_s: float, reply: Reply
     ) -> None:
         """Replies with the changes after a revision, once there are some."""
-        wait_ms = int(wait_s * 1_000)
+        wait_ms = max(1, int(wait_s * 1_000))
         query = f"?watch={revision}&wait_ms={wait_ms}"
 
         def done(status: int | None, body: bytes) -> None:
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -182,6 +182,7 @@
         print(f"seed {seed}")
         self.random = random.Random(seed)
         self.loss = loss
+        self.delay = (0.0005, 0.006)
         self.now = 100.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.ticket = itertools.count()
@@ -231,7 +232,7 @@
         def send(node: NodeIp, message: Any) -> None:
             if self.random.random() < self.loss:
                 return
-            delay = self.random.uniform(0.0005, 0.006)
+            delay = self.random.uniform(*self.delay)
             self.later(delay, lambda: self.receive(sender, node, message))
 
         return send
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -5,9 +5,17 @@
 import random
 
 import pytest
+from codec import flow_tuple, pack
 from network import OTHER, REPORT_S, ROUTE, Network, routes, system
 
-from bramleydyke.direct.constants import BUSY_PER_SLOT, DEAD_AGENT_S
+from bramleydyke.direct.constants import (
+    BUSY_PER_SLOT,
+    DEAD_AGENT_S,
+    MAX_OPENING_RETRY_S,
+    OPENING_RETRY_S,
+)
+from bramleydyke.direct.messages import encode
+from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.types import NodeIp
 
 SEEDS = range(20)
@@ -235,6 +243,8 @@
 
 def test_openings_without_a_route_are_refused_only_by_a_current_balancer():
     network = system(5)
+    for balancer in network.balancers.values():
+        balancer.routes.confirm(now=network.now)
     unknown = network.open_flow(route=b"otherr")
     network.run(0.05)
     assert unknown.ended == "reset"
@@ -332,3 +342,51 @@
         caller.request()
     network.run(0.6)
     assert {caller.ended for caller in callers[30:]} == {"reset"}
+
+
+def test_the_wait_for_an_agent_follows_the_round_trips():
+    """Balancers on a link of 5 Mbit/s repeated each opening packet five times.
+
+    Their queue was longer than the fixed wait of 45 ms, and the repeats kept
+    it full for 15 s.
+    """
+    round_trip = RoundTrip()
+    assert round_trip.timeout_s() == OPENING_RETRY_S
+    for _ in range(20):
+        round_trip.observe(0.008)
+    assert round_trip.timeout_s() == OPENING_RETRY_S
+    for _ in range(10):
+        round_trip.missed()
+    assert round_trip.timeout_s() == MAX_OPENING_RETRY_S
+    for _ in range(30):
+        round_trip.observe(0.15)
+    assert 0.15 < round_trip.timeout_s() < 0.2
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_slow_answers_do_not_multiply_openings(seed):
+    network = system(seed, balancers=1, upstreams=6)
+    network.delay = (0.04, 0.06)
+    network.run(1.0)
+    for _ in range(40):
+        network.open_flow()
+        network.run(0.05)
+    network.run(0.5)
+    network.counts.clear()
+    for _ in range(40):
+        network.open_flow()
+        network.run(0.05)
+    assert network.counts["retried.agent_silent"] <= 2
+
+
+def test_a_lookup_asks_without_the_packet():
+    """A request of 900 bytes went to all 64 agents for each lookup."""
+    network = system(21, balancers=1, upstreams=6)
+    balancer = network.balancers[NodeIp("10.0.1.0")]
+    sent = []
+    balancer.lookups.send = lambda node, message: sent.append(message)
+    datagram = pack(flow=flow_tuple(77), acknowledged=5, payload=bytes(900))
+    balancer.packet_in(datagram, now=network.now)
+    network.run(0.1)
+    assert len(sent) == 6
+    assert all(len(encode(message)) < 64 for message in sent)
--- a/tests/direct/test_kind_watch.py
+++ b/tests/direct/test_kind_watch.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.task import Clock
 
+from bramleydyke.direct.constants import FULL_POLL
 from bramleydyke.direct.kind_watch import KindWatch
 from bramleydyke.direct.store import (
     CallStatus,
@@ -87,14 +88,37 @@
 
 
 def test_polls_beside_a_watch_that_hears_nothing():
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = watch_of(store, clock, poll_s=lambda: 1.0)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    for number in range(1, FULL_POLL):
+        clock.advance(1.0)
+        revision, reply = store.watches.pop()
+        assert revision == 4 + number
+        reply(CallStatus.OK, Changes([], Revision(5 + number)))
+    clock.advance(1.0)
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(9)))
+    assert seen == [
+        ("listed", 5),
+        ("changed", 6),
+        ("changed", 7),
+        ("changed", 8),
+        ("listed", 9),
+    ]
+    # The watch that hears nothing still waits.
+    assert [revision for revision, _ in store.watches] == [5]
+
+
+def test_a_poll_that_finds_the_history_gone_lists_at_once():
     store, clock = ScriptedStore(), Clock()
     watch, seen, _ = watch_of(store, clock, poll_s=lambda: 1.0)
     watch.start()
     store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
     clock.advance(1.0)
-    store.lists.pop()(CallStatus.OK, Listing([], Revision(6)))
-    assert seen == [("listed", 5), ("listed", 6)]
-    assert len(store.watches) == 1
+    store.watches.pop()[1](CallStatus.HISTORY_GONE, None)
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(8)))
+    assert seen == [("listed", 5), ("listed", 8)]
 
 
 def test_a_stopped_watch_makes_no_calls():
