--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -20,9 +20,10 @@
     LaterReply,
     listen_http,
 )
+from bramleydyke.adapters.metrics_page import CONTENT_TYPE, MetricsPage
 from bramleydyke.adapters.raw_datagrams import RawDatagrams
 from bramleydyke.direct.messages import decode, encode
-from bramleydyke.direct.ports import Count
+from bramleydyke.direct.ports import Count, Observe
 from bramleydyke.direct.settings import DirectSettings, SettingsError, load_settings
 from bramleydyke.direct.store import Store
 from bramleydyke.direct.types import NodeIp
@@ -35,8 +36,11 @@
 """Interval at which the settings file is compared with what was read."""
 
 
-NewStore = Callable[[Any, Clock, Count], Store]
-"""Returns the store's client for a reactor, a clock and a counter."""
+END_MARGIN_S = 0.5
+"""Part of the stop time that is left for the end of the process."""
+
+NewStore = Callable[[Any, Clock, Count, Observe], Store]
+"""Returns the store's client, from reactor, clock, counter and histograms."""
 
 
 class Role(Protocol):
@@ -58,6 +62,7 @@
     Attributes:
         settings: Settings in force.
         counts: Value of each counter since the start.
+        metrics: The same, with gauges and latencies, as a page.
         role: Set by the program before ``start``.
     """
 
@@ -76,6 +81,7 @@
         self.path = path
         self.clock = MonotonicClock(reactor)
         self.counts: dict[str, int] = {}
+        self.metrics = MetricsPage(counts=self.counts, gauges=self.gauges)
         self.seed = random.SystemRandom().getrandbits(32)
         self.random_source = random.Random(self.seed)
         self.handler = LineWriter(
@@ -103,6 +109,10 @@
         """Adds to a counter."""
         self.counts[name] = self.counts.get(name, 0) + amount
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Adds a latency to a histogram."""
+        self.metrics.observe(name, seconds)
+
     def send(self, node: NodeIp, message: object) -> None:
         """Sends a message to another node; it may be lost."""
         self.mesh.send(encode(message), node, self.settings.mesh_port)
@@ -153,7 +163,7 @@
         settings = self.settings
         if settings.metrics_port:
             endpoint = f"{settings.ip}:{settings.metrics_port}"
-            self.listen(endpoint, self._metrics_page)
+            self.listen(endpoint, self.metrics_page)
         self.log.record(
             "started", role=settings.role.value, ip=settings.ip, seed=self.seed
         )
@@ -208,12 +218,13 @@
             return
         self.role.message_in(NodeIp(sender), message, now=self.clock.seconds())
 
-    def _metrics_page(self, method: str, path: str, body: bytes) -> HttpReply:
-        lines = (
-            f"bramleydyke_{name.replace('.', '_')}_total {value}\n"
-            for name, value in sorted(self.counts.items())
-        )
-        return HttpReply(200, "".join(lines).encode(), "text/plain; version=0.0.4")
+    def metrics_page(self, method: str, target: str, body: bytes) -> HttpReply:
+        """Serves the metrics."""
+        return HttpReply(200, self.metrics.render(), CONTENT_TYPE)
+
+    def gauges(self) -> dict[str, float]:
+        """Returns what the program believes now, by name."""
+        return {}
 
     # Settings.
 
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from bramleydyke.daemons.direct import DirectNode, NewStore
+from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore
 from bramleydyke.daemons.direct_balancer import caller_ip
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.constants import AGENT_LINGER_S, BALANCER_LIST_S
@@ -23,7 +23,7 @@
 DRAIN_STORE_WAIT_S = 0.7
 """Wait for a drain to be stored; upstreams wait a second for the answer."""
 
-DRAIN_POLL_S = 0.01
+STORED_POLL_S = 0.01
 """Interval at which the store's answer is looked for."""
 
 STORED_STATES = frozenset({UpstreamState.READY, UpstreamState.DRAINING})
@@ -49,7 +49,7 @@
         assert upstream is not None
         self.upstream = upstream
         self.caller_port = port_of(settings.packet_endpoint)
-        self.store: Store = new_store(reactor, self.clock, self.count)
+        self.store: Store = new_store(reactor, self.clock, self.count, self.observe)
         self.role: Agent = Agent(
             node=me,
             zone=AvailabilityZone(settings.availability_zone),
@@ -99,8 +99,14 @@
         if not (taken and report.draining) or self.entry.settled():
             acknowledge(taken)
             return
-        until = self.clock.seconds() + DRAIN_STORE_WAIT_S
-        self._when_stored(until, acknowledge)
+        reported_at = self.clock.seconds()
+
+        def stored(taken: bool) -> None:
+            waited = self.clock.seconds() - reported_at
+            self.observe("drain_acknowledged", waited)
+            acknowledge(taken)
+
+        self._when_stored(reported_at + DRAIN_STORE_WAIT_S, stored)
 
     def _when_stored(self, until: float, acknowledge: Callable[[bool], None]) -> None:
         if self.entry.settled():
@@ -109,19 +115,47 @@
             self.count("drains.acknowledged_unstored")
             acknowledge(True)
         else:
-            self.clock.callLater(DRAIN_POLL_S, self._when_stored, until, acknowledge)
+            self.clock.callLater(STORED_POLL_S, self._when_stored, until, acknowledge)
 
     def left(self, upstream: UpstreamId) -> None:
         """Takes an upstream's word that it is gone."""
         self.role.left(upstream, now=self.clock.seconds())
         self._store_entry()
 
+    def gauges(self) -> dict[str, float]:
+        """Returns what this agent believes now."""
+        now = self.clock.seconds()
+        role = self.role
+        state = role.view.state(now=now)
+        return {
+            "upstream_ready": float(state is UpstreamState.READY),
+            "upstream_report_age_seconds": round(now - role.view.reported_at, 3),
+            "flows_unfinished": role.flows.unfinished,
+            "requests_waiting": len(role.flows.requests),
+            "balancers_known": len(role.balancers),
+            "entry_stored": float(self.entry.settled()),
+        }
+
     def terminate(self) -> None:
         """Takes no new flow, lets short ones end and stops."""
         if self.role.pausing:
             return
-        self.role.pause(now=self.clock.seconds())
-        self.stop(after_s=AGENT_LINGER_S, reason="SIGTERM")
+        now = self.clock.seconds()
+        self.role.pause(now=now)
+        until = now + self.settings.stop_within_s - END_MARGIN_S
+        self.clock.callLater(AGENT_LINGER_S, self._stop_when_removed, until)
+
+    def _stop_when_removed(self, until: float) -> None:
+        """Stops; if the upstream is gone, once the store knows or time is up.
+
+        An entry that stays behind makes balancers wait for this VM later.
+        """
+        now = self.clock.seconds()
+        gone = self.role.view.state(now=now) is UpstreamState.GONE
+        if gone and not self.entry.settled() and now < until:
+            self.clock.callLater(STORED_POLL_S, self._stop_when_removed, until)
+        else:
+            self.stop(after_s=0.0, reason="SIGTERM")
 
     def close(self) -> None:
         """Closes all sockets and makes no more calls."""
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -10,7 +10,7 @@
 
 from bramleydyke.adapters.http_calls import HttpCalls
 from bramleydyke.adapters.http_server import HttpReply
-from bramleydyke.daemons.direct import DirectNode, NewStore
+from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore
 from bramleydyke.direct.balancer import Balancer
 from bramleydyke.direct.constants import BALANCER_LINGER_S, SNAPSHOT_TIMEOUT_S
 from bramleydyke.direct.directory import Directory
@@ -26,8 +26,8 @@
 from bramleydyke.endpoints import host_of, port_of
 from bramleydyke.types import AvailabilityZone
 
-END_MARGIN_S = 0.5
-"""Part of the stop time that is left for the end of the process."""
+UNKNOWN_AGE_S = 1e9
+"""Age that stands for a configuration that was never confirmed."""
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -67,7 +67,7 @@
         )
         self.fetching = False
         self.empty = True
-        store: Store = new_store(reactor, self.clock, self.count)
+        store: Store = new_store(reactor, self.clock, self.count, self.observe)
         routes = Routes()
         directory = Directory(zone)
         spread = Spread(
@@ -87,6 +87,7 @@
             reset=self._to_caller,
             count=self.count,
             record=self.log.record,
+            observe=self.observe,
         )
         self.registry = Registry(
             store=store,
@@ -125,6 +126,25 @@
         """Tells whether this balancer can serve callers."""
         return self.role.ready(now=self.clock.seconds())
 
+    def gauges(self) -> dict[str, float]:
+        """Returns what this balancer believes now."""
+        now = self.clock.seconds()
+        role = self.role
+        entries = role.directory.entries.values()
+        confirmed = min(now - role.routes.confirmed_at, UNKNOWN_AGE_S)
+        return {
+            "configuration_version": role.routes.version,
+            "configuration_confirmed_age_seconds": round(confirmed, 3),
+            "routes": len(role.routes.current.routes) if role.routes.current else 0,
+            "upstreams": len(entries),
+            "upstreams_suspect": sum(e.suspect_until > now for e in entries),
+            "upstreams_followed": float(role.directory.complete),
+            "balancers_heard": role.spread.live_peers(now=now),
+            "flows_known": len(role.holders.open),
+            "openings_parked": len(role.openings.parked),
+            "agent_timeout_seconds": role.openings.round_trip.timeout_s(),
+        }
+
     def terminate(self) -> None:
         """Leaves the rotation, then stops."""
         if self.role.leaving:
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -21,7 +21,14 @@
     Unsure,
 )
 from bramleydyke.direct.openings import Openings
-from bramleydyke.direct.ports import Count, PacketCodec, Record, Send, SendToCaller
+from bramleydyke.direct.ports import (
+    Count,
+    Observe,
+    PacketCodec,
+    Record,
+    Send,
+    SendToCaller,
+)
 from bramleydyke.direct.routes import Routes
 from bramleydyke.direct.spread import Spread
 from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
@@ -46,6 +53,7 @@
     reset: SendToCaller
     count: Count
     record: Record
+    observe: Observe
     leaving: bool = False
     holders: Holders = field(default_factory=Holders)
     openings: Openings = field(init=False)
@@ -59,6 +67,7 @@
             reset=self.reset_flow,
             count=self.count,
             record=self.record,
+            observe=self.observe,
         )
         self.lookups = Lookups(
             directory=self.directory,
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -173,7 +173,7 @@
 In a storm one call brings several versions, of which only the last matters.
 """
 
-UPSTREAM_PAUSE_S = 1.0
+UPSTREAM_PAUSE_S = 3.0
 """Pause after changes of upstreams, which agents also announce themselves."""
 
 CONFIG_POLL_S = 1.0
@@ -196,7 +196,7 @@
 """Limit of the pause between failed calls: half of the time to recover."""
 
 ENTRY_EXPIRY_S = 120.0
-"""Silence after which a balancer's entry is removed from the store."""
+"""Silence after which the entry of a VM is removed from the store."""
 
 # Stops.
 
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -15,7 +15,7 @@
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holder, Holders
 from bramleydyke.direct.messages import Forward, Placed, Refused
-from bramleydyke.direct.ports import Count, Record, Send, SendToCaller
+from bramleydyke.direct.ports import Count, Observe, Record, Send, SendToCaller
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.routes import Route, pick_service
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
@@ -34,6 +34,7 @@
         candidates: Agents to ask, the best one first.
         priority: Priority of its route; 0 is the most urgent.
         until: End of its wait for an upstream, in seconds.
+        arrived_at: When its packet arrived, in seconds.
         asked_at: When the last of them was asked, in seconds.
         asked: Number of them that have been asked.
     """
@@ -43,6 +44,7 @@
     candidates: list[NodeIp]
     until: float
     priority: int
+    arrived_at: float
     asked: int = 0
     asked_at: float = 0.0
 
@@ -61,6 +63,7 @@
     reset: SendToCaller
     count: Count
     record: Record
+    observe: Observe
     waiting: dict[FlowTuple, Opening] = field(default_factory=dict)
     parked: dict[FlowTuple, Opening] = field(default_factory=dict)
     timers: Timers[FlowTuple] = field(default_factory=Timers)
@@ -82,7 +85,7 @@
             self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
             return
         avoid = None if holder is None else holder.node
-        opening = Opening(packet, service, [], now + PARK_S, route.priority)
+        opening = Opening(packet, service, [], now + PARK_S, route.priority, now)
         self._place(opening, now=now, avoid=avoid)
 
     def _place(
@@ -116,6 +119,7 @@
         if opening is not None:
             self.timers.cancel(message.flow)
             self._answered(opening, now=now)
+            self.observe("opening", now - opening.arrived_at)
             self.record(
                 "flow_placed",
                 flow=message.flow,
--- a/src/bramleydyke/direct/ports.py
+++ b/src/bramleydyke/direct/ports.py
@@ -36,5 +36,8 @@
 Count = Callable[[str], None]
 """Adds one to a counter."""
 
+Observe = Callable[[str, float], None]
+"""Adds a latency in seconds to a histogram."""
+
 Record = Callable[..., None]
 """Logs a decision: ``record(event, **inputs)``."""
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -13,6 +13,7 @@
     CONFIG_PAUSE_S,
     CONFIG_POLL_S,
     CONFIG_POLL_SHARE_S,
+    ENTRY_EXPIRY_S,
     STORE_BACKOFF_CAP_S,
     UPSTREAM_PAUSE_S,
 )
@@ -124,6 +125,7 @@
         for watch in self.watches:
             watch.start()
         self._list_balancers(stale=False)
+        self.clock.callLater(BALANCER_LIST_S, self._expire)
 
     def stop(self) -> None:
         """Makes no more calls."""
@@ -246,6 +248,50 @@
             self.count(f"store.balancers.{status.value}")
             self.clock.callLater(STORE_BACKOFF_CAP_S, self._list_balancers)
 
+    # Entries that their writers left behind.
+
+    def _expire(self) -> None:
+        """Removes entries of VMs that were silent for long.
+
+        Each entry has one balancer that looks after it, by rendezvous.
+        """
+        if self.stopped:
+            return
+        self.clock.callLater(BALANCER_LIST_S, self._expire)
+        now = self.clock.seconds()
+        silent = [
+            (Kind.UPSTREAMS, node)
+            for node, entry in self.directory.entries.items()
+            if self.directory.dead(node, now=now)
+            and now - entry.heard_at > ENTRY_EXPIRY_S
+            and node in self.listed_names
+        ]
+        silent += [
+            (Kind.BALANCERS, node)
+            for node, heard_at in self.spread.peers.items()
+            if now - heard_at > ENTRY_EXPIRY_S
+        ]
+        for kind, node in silent:
+            if self.spread.looks_after(node, now=now):
+                self._remove(kind, node)
+
+    def _remove(self, kind: Kind, node: NodeIp) -> None:
+        """Removes an entry, unless it changes meanwhile."""
+
+        def found(status: CallStatus, stored: StoredObject | None) -> None:
+            if status is not CallStatus.OK or stored is None:
+                self.count(f"store.expire.{status.value}")
+                return
+            self.record("entry_expired", kind=kind.value, agent=node)
+            self.store.remove(kind, node, stored.revision, removed)
+
+        def removed(status: CallStatus, _: StoredObject | None) -> None:
+            self.count(f"store.expire.{status.value}")
+            if status is CallStatus.OK and kind is Kind.BALANCERS:
+                self.spread.remove_peer(node)
+
+        self.store.get(kind, node, found)
+
     def _take_balancer(self, stored: StoredObject) -> None:
         if isinstance(stored.value, BalancerEntry):
             self.spread.add_peer(stored.value.node, now=self.clock.seconds())
--- a/src/bramleydyke/direct/spread.py
+++ b/src/bramleydyke/direct/spread.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.direct.constants import (
     LIVE_PEER_S,
     NEWS_FANOUT,
@@ -22,6 +23,7 @@
 from bramleydyke.direct.ports import Send
 from bramleydyke.direct.routes import Routes
 from bramleydyke.direct.types import ConfigVersion, NodeIp
+from bramleydyke.types import UpstreamId
 
 Fetch = Callable[[NodeIp, ConfigVersion], None]
 """Fetches the routes of a balancer that has at least a version."""
@@ -85,6 +87,13 @@
         for node in self.peers:
             self.send(node, self._notice())
 
+    def looks_after(self, node: NodeIp, *, now: float) -> bool:
+        """Tells whether this balancer cleans up after a VM that is gone."""
+        oldest = now - LIVE_PEER_S
+        live = [peer for peer, at in self.peers.items() if at >= oldest]
+        weights = dict.fromkeys(map(UpstreamId, [self.node, *live]), 1.0)
+        return owner_order(node.encode(), weights)[0] == self.node
+
     def live_peers(self, *, now: float) -> int:
         """Returns the number of balancers that were heard a moment ago."""
         oldest = now - LIVE_PEER_S
--- a/src/bramleydyke/platform/main.py
+++ b/src/bramleydyke/platform/main.py
@@ -11,7 +11,7 @@
 from bramleydyke.daemons.direct import NewStore, run_node
 from bramleydyke.daemons.direct_agent import DirectAgent
 from bramleydyke.daemons.direct_balancer import DirectBalancer
-from bramleydyke.direct.ports import Count
+from bramleydyke.direct.ports import Count, Observe
 from bramleydyke.direct.settings import (
     DirectSettings,
     Role,
@@ -60,9 +60,16 @@
 
 
 def _new_store(settings: DirectSettings) -> NewStore:
-    def new_store(reactor: Any, clock: Clock, count: Count) -> PlatformStore:
+    def new_store(
+        reactor: Any, clock: Clock, count: Count, observe: Observe
+    ) -> PlatformStore:
         calls = HttpCalls(reactor=reactor, clock=clock, content_type="application/json")
-        return PlatformStore(calls=calls, endpoint=settings.store_endpoint, count=count)
+        return PlatformStore(
+            calls=calls,
+            endpoint=settings.store_endpoint,
+            count=count,
+            observe=observe,
+        )
 
     return new_store
 
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -10,7 +10,7 @@
 
 from bramleydyke.adapters.http_calls import HttpCalls
 from bramleydyke.direct.constants import STORE_TIMEOUT_S
-from bramleydyke.direct.ports import Count
+from bramleydyke.direct.ports import Count, Observe
 from bramleydyke.direct.registry import BalancerEntry, UpstreamEntry
 from bramleydyke.direct.store import (
     CallStatus,
@@ -92,8 +92,11 @@
         newest_manifest: Revision and routes of the manifest read last.
     """
 
-    def __init__(self, *, calls: HttpCalls, endpoint: str, count: Count) -> None:
+    def __init__(
+        self, *, calls: HttpCalls, endpoint: str, count: Count, observe: Observe
+    ) -> None:
         self.calls = calls
+        self.observe = observe
         self.endpoint = endpoint
         self.count = count
         self.newest_manifest: tuple[int, Any] = (0, None)
@@ -192,12 +195,19 @@
         body: bytes | None = None,
     ) -> None:
         self.count("store.calls")
+        started = self.calls.clock.seconds()
+
+        def measured(status: int | None, answer: bytes) -> None:
+            if "watch=" not in path:
+                self.observe("store_call", self.calls.clock.seconds() - started)
+            done(status, answer)
+
         self.calls.call(
             method,
             self.endpoint,
             f"/objects/{path}",
             timeout_s=timeout_s,
-            done=done,
+            done=measured,
             body=body,
         )
 
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -299,6 +299,7 @@
             reset=self.to_caller,
             count=self.count,
             record=lambda event, **inputs: None,
+            observe=lambda name, seconds: None,
         )
         for other in self.balancers.values():
             other.spread.add_peer(node, now=self.now)
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -20,6 +20,7 @@
     LaterReply,
     listen_http,
 )
+from bramleydyke.adapters.metrics_page import MetricsPage
 from bramleydyke.adapters.raw_datagrams import RawDatagrams
 from bramleydyke.direct.settings import Role, SettingsError, load_settings
 
@@ -253,6 +254,22 @@
     assert whole == list(range(100))
 
 
+# Metrics.
+
+
+def test_the_metrics_page_has_counters_gauges_and_latencies():
+    counts = {"refused.busy": 3}
+    page = MetricsPage(counts=counts, gauges=lambda: {"upstreams": 7})
+    page.observe("opening", 0.02)
+    counts["refused.busy"] += 1
+    lines = page.render().decode().splitlines()
+    assert "bramleydyke_refused_busy_total 4.0" in lines
+    assert "bramleydyke_upstreams 7.0" in lines
+    assert 'bramleydyke_opening_seconds_bucket{le="0.01"} 0.0' in lines
+    assert 'bramleydyke_opening_seconds_bucket{le="0.025"} 1.0' in lines
+    assert "bramleydyke_opening_seconds_count 1.0" in lines
+
+
 # Settings.
 
 SETTINGS = {
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -174,4 +174,26 @@
     assert not node.ready()
     flows = open_flows(system, 4)
     ask(flows, b"q")
+    page = node.metrics_page("GET", "/metrics", b"").body.decode()
+    assert "bramleydyke_configuration_version 3.0\n" in page
+    assert 'bramleydyke_store_call_seconds_bucket{le="+Inf"}' in page
+    assert "bramleydyke_store_calls_total" in page
     assert PORTS["ready"] in {server.port.getHost().port for server in node.servers}
+
+
+def test_an_agent_stops_once_the_store_knows_that_its_upstream_is_gone(system):
+    """Entries of upstreams that left while the store was down stayed."""
+    ip = f"{system.network}.2.1"
+    node = system.nodes[ip]
+    stopped = []
+    node.reactor = type("Quiet", (), {"stop": lambda self: stopped.append(1)})()
+    system.store.down = True
+    node.left(system.upstreams[ip].name)
+    node.terminate()
+    ends_at = time.monotonic() + 1.0
+    spin(lambda: time.monotonic() > ends_at)
+    assert not stopped
+    system.store.down = False
+    spin(lambda: stopped)
+    assert ("bramleydyke-upstreams", ip) not in system.store.objects
+    del system.nodes[ip]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 
 import pytest
 from hypothesis import given, strategies as st
+from twisted.internet.task import Clock
 
 from bramleydyke.direct.registry import BalancerEntry, UpstreamEntry
 from bramleydyke.direct.store import CallStatus, Kind, Revision
@@ -42,6 +43,7 @@
     def __init__(self, *answers: tuple[int | None, Any]) -> None:
         self.answers = list(answers)
         self.made: list[tuple[str, str, Any]] = []
+        self.clock = Clock()
 
     def call(self, method, endpoint, target, *, timeout_s, done, body=None):
         self.made.append((method, target, None if body is None else json.loads(body)))
@@ -53,7 +55,12 @@
 def store_with(*answers):
     calls = Calls(*answers)
     counts: list[str] = []
-    return PlatformStore(calls=calls, endpoint="10.9.9.9:1", count=counts.append), calls
+    return PlatformStore(
+        calls=calls,
+        endpoint="10.9.9.9:1",
+        count=counts.append,
+        observe=lambda name, seconds: None,
+    ), calls
 
 
 def replies():
