Stop balancers sooner, so that rolling restarts overlap less

Cause: a balancer was out of rotation for 3.4 s of a planned restart, with 1.2 s between balancers.

Change: it forwards for 1.25 s after SIGTERM, two readiness checks, not 2.5 s.

--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -200,8 +200,13 @@
 
 # Stops.
 
-BALANCER_LINGER_S = 2.5
-"""Time for which a stopping balancer forwards: over two readiness checks."""
+BALANCER_LINGER_S = 1.25
+"""Time for which a stopping balancer forwards: two checks, 0.5 s apart.
+
+A longer time makes the outages of balancers that restart in turn overlap. If
+fewer than half of a zone's balancers are ready, the routers use all of them,
+also the one that is down.
+"""
 
 AGENT_LINGER_S = 0.25
 """Time in which a stopping agent lets short flows end."""
