--- /dev/null
+++ b/scripts/direct_slopes.py
@@ -0,0 +1,157 @@
+"""Measures state, messages and processor time of the direct mode.
+
+Prints one JSON line a figure. ``docs/CAPACITY.md`` is worked out from them.
+Usage: ``PYTHONPATH=src:tests/direct python scripts/direct_slopes.py``.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from network import routes, system
+
+from bramleydyke.direct.directory import Directory
+from bramleydyke.direct.holders import Holder, Holders
+from bramleydyke.direct.messages import (
+    Absent,
+    Announcement,
+    Load,
+    Notice,
+    Placed,
+    Seek,
+    encode,
+)
+from bramleydyke.direct.routes import Route, RouteSet, Share
+from bramleydyke.direct.types import (
+    ConfigVersion,
+    FlowTuple,
+    Lifetime,
+    NodeIp,
+    RouteAddress,
+    UpstreamState,
+)
+from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
+from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+
+FLOWS = 50_000
+UPSTREAMS = 3_800
+SERVICES = 830
+NODES = (10, 50, 200, 550)
+SEED = 1
+NODE = NodeIp("10.128.0.10")
+LIFETIME = Lifetime(1_770_073_521_800)
+
+
+def flow(number: int) -> FlowTuple:
+    """Returns a flow of its own for each number."""
+    return FlowTuple(number.to_bytes(12, "big"))
+
+
+def allocated(make: Callable[[], Any]) -> int:
+    """Returns the bytes that an object takes."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    made = make()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del made
+    return after - before
+
+
+def holders() -> Holders:
+    """Returns a balancer's table of flows."""
+    table = Holders()
+    for number in range(FLOWS):
+        table.accepted(flow(number), Holder(NODE, LIFETIME, None))
+    return table
+
+
+def upstream_flows() -> UpstreamFlows:
+    """Returns an agent's table of flows."""
+    table = UpstreamFlows()
+    for number in range(FLOWS):
+        table.add(flow(number), UpstreamFlow(NODE, LIFETIME, 1.0, open=True))
+    return table
+
+
+def route_set() -> RouteSet:
+    """Returns a configuration of one route for each service."""
+    names = [ServiceId(f"svc{number}") for number in range(SERVICES)]
+    found = {
+        RouteAddress(number.to_bytes(6, "big")): Route([Share(name, 1.0)], 1)
+        for number, name in enumerate(names)
+    }
+    return RouteSet(ConfigVersion(1), found, names)
+
+
+def announcement(number: int) -> Announcement:
+    """Returns an upstream's announcement."""
+    return Announcement(
+        node=NodeIp(f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"),
+        zone=AvailabilityZone("zone-north"),
+        service=ServiceId(f"svc{number % SERVICES}"),
+        upstream=UpstreamId(f"i-{number:010x}"),
+        lifetime=LIFETIME,
+        sequence=12,
+        revision=1,
+        state=UpstreamState.READY,
+    )
+
+
+def directory() -> Directory:
+    """Returns a balancer's directory at the target size."""
+    found = Directory(AvailabilityZone("zone-north"))
+    for number in range(UPSTREAMS):
+        found.apply(announcement(number), now=1.0, heard=True)
+    return found
+
+
+def placement_us() -> float:
+    """Returns the processor time to order the agents of a new flow."""
+    found = directory()
+    started = time.process_time()
+    for number in range(FLOWS):
+        service = ServiceId(f"svc{number % SERVICES}")
+        found.candidates(service, flow(number), width=3, now=1.0)
+    return (time.process_time() - started) / FLOWS * 1e6
+
+
+def in_force_s(nodes: int) -> float:
+    """Returns the time until a change is in force at all balancers."""
+    network = system(SEED, balancers=nodes, upstreams=1)
+    first = next(iter(network.balancers.values()))
+    first.routes.apply(routes(2))
+    first.spread.changed(now=network.now)
+    started = network.now
+    while {b.routes.version for b in network.balancers.values()} != {2}:
+        network.run(0.01)
+    return network.now - started
+
+
+def main() -> None:
+    """Prints the figures."""
+    figures: dict[str, float] = {
+        "balancer_bytes_per_flow": allocated(holders) / FLOWS,
+        "agent_bytes_per_flow": allocated(upstream_flows) / FLOWS,
+        "bytes_per_upstream": allocated(directory) / UPSTREAMS,
+        "bytes_per_route": allocated(route_set) / SERVICES,
+        "snapshot_bytes_per_route": len(encode(route_set())) / SERVICES,
+        "announcement_bytes": len(encode(announcement(70_000))),
+        "seek_bytes": len(encode(Seek(flow(1), ServiceId("svc830"), 12_345_678))),
+        "placed_bytes": len(encode(Placed(flow(1), LIFETIME, 123_456, Load(1, 2)))),
+        "absent_bytes": len(encode(Absent(flow(1)))),
+        "notice_bytes": len(encode(Notice(NODE, ConfigVersion(1_000)))),
+        "placement_us": placement_us(),
+    }
+    for name, value in figures.items():
+        print(json.dumps({name: round(value, 2)}))
+    for nodes in NODES:
+        print(json.dumps({"in_force_s": round(in_force_s(nodes), 2), "nodes": nodes}))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -21,6 +21,7 @@
 
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.balancer import Balancer
+from bramleydyke.direct.constants import BALANCER_LINGER_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.routes import Route, Routes, RouteSet, Share
 from bramleydyke.direct.spread import Spread
@@ -194,6 +195,7 @@
         self.resets: list[tuple[float, FlowTuple]] = []
         self.counts: Counter[str] = Counter()
         self.cut: set[NodeIp] = set()
+        self.misses: dict[NodeIp, int] = {}
         self.config = routes()
         self.flow_numbers = itertools.count(1)
 
@@ -246,12 +248,39 @@
 
     def route(self, datagram: bytes) -> None:
         """Hands a caller's packet to a balancer, as the routers do."""
-        if not self.balancers or self.random.random() < self.loss:
+        if not self.rotation() or self.random.random() < self.loss:
             return
-        nodes = sorted(self.balancers)
+        nodes = self.rotation()
         node = nodes[zlib.crc32(unpack(datagram).flow) % len(nodes)]
         self.later(0.001, lambda: self.packet_at(node, datagram))
 
+    def rotation(self) -> list[NodeIp]:
+        """Returns the balancers that the routers use.
+
+        With readiness checks they leave one out after two failed checks, but
+        use all of them if fewer than half are ready.
+        """
+        if not self.misses:
+            return sorted(self.balancers)
+        ready = [node for node, misses in self.misses.items() if misses < 2]
+        return sorted(ready if 2 * len(ready) >= len(self.misses) else self.misses)
+
+    def check_readiness(self) -> None:
+        """Starts the routers' checks, twice a second."""
+        self.misses = self.misses or dict.fromkeys(self.balancers, 0)
+        for node in self.misses:
+            balancer = self.balancers.get(node)
+            ready = balancer is not None and balancer.ready(now=self.now)
+            self.misses[node] = 0 if ready else self.misses[node] + 1
+        self.later(0.5, self.check_readiness)
+
+    def restart_balancer(self, name: str, *, down_s: float) -> None:
+        """Stops a balancer as its program does, and starts it again."""
+        node = NodeIp(name)
+        self.balancers[node].leaving = True
+        self.later(BALANCER_LINGER_S, lambda: self.balancers.pop(node))
+        self.later(BALANCER_LINGER_S + down_s, lambda: self.add_balancer(name))
+
     def packet_at(self, node: NodeIp, datagram: bytes) -> None:
         balancer = self.balancers.get(node)
         if balancer is not None and node not in self.cut:
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -390,3 +390,27 @@
     network.run(0.1)
     assert len(sent) == 6
     assert all(len(encode(message)) < 64 for message in sent)
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("balancers", [2, 3, 5])
+def test_a_rolling_restart_of_the_balancers_loses_no_opening(seed, balancers):
+    """Balancers forwarded for so long that their outages overlapped.
+
+    Fewer than half of a zone's balancers were ready, so the routers used all
+    of them, also those that were down.
+    """
+    network = system(seed, balancers=balancers)
+    network.check_readiness()
+    for number in range(balancers):
+        after = 1.0 + 1.2 * number
+        name = f"10.0.1.{number}"
+        network.later(
+            after, lambda name=name: network.restart_balancer(name, down_s=0.95)
+        )
+    for _ in range(40 * (balancers + 3)):
+        network.open_flow()
+        network.run(0.05)
+    network.run(2.0)
+    lost = [caller.flow for caller in network.callers.values() if caller.gave_up]
+    assert not lost
