Measure an agent's silence from its first unanswered question

Change: the 4 s until an agent counts as lost run from the first question that it left unanswered. The test fails before.

--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -26,14 +26,16 @@
         announcement: Newest announcement of the upstream.
         load: Load as last reported, plus the flows that were sent since.
         load_at: When ``load`` was told or last raised.
-        heard_at: When the agent was last heard, or the entry was added.
+        failing_since: When the agent first left a question unanswered since
+            its last answer. Agents announce to a few balancers only, so that
+            others may not have heard a living one for long.
         suspect_until: No new flow is sent there before this time.
         failures: Times in a row that its agent did not answer.
     """
 
     announcement: Announcement
     load: Load
-    heard_at: float
+    failing_since: float = 0.0
     load_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
@@ -66,7 +68,7 @@
         """
         entry = self.entries.get(announcement.node)
         if entry is None:
-            self._insert(announcement, now=now)
+            self._insert(announcement)
             return True
         old = entry.announcement
         if announcement.order() < old.order():
@@ -75,16 +77,16 @@
             return False
         if old.service != announcement.service:
             self.by_service[old.service].pop(announcement.node, None)
-            self._insert(announcement, now=now)
+            self._insert(announcement)
             return True
         entry.announcement = announcement
         if heard:
             self.answered(announcement.node, now=now, load=announcement.load)
         return (old.state, old.lifetime) != (announcement.state, announcement.lifetime)
 
-    def _insert(self, announcement: Announcement, *, now: float) -> None:
+    def _insert(self, announcement: Announcement) -> None:
         node = announcement.node
-        self.entries[node] = Entry(announcement, announcement.load, now)
+        self.entries[node] = Entry(announcement, announcement.load)
         self.by_service.setdefault(announcement.service, {})[node] = 1.0
 
     def removed(self, node: NodeIp) -> bool:
@@ -99,7 +101,6 @@
         """Notes an answer of an agent, and the load that it told."""
         entry = self.entries.get(node)
         if entry is not None:
-            entry.heard_at = now
             if load is not None:
                 entry.load = load
                 entry.load_at = now
@@ -110,6 +111,8 @@
         """Notes that an agent did not answer."""
         entry = self.entries.get(node)
         if entry is not None:
+            if not entry.failures:
+                entry.failing_since = now
             pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.failures)
             entry.failures += 1
             entry.suspect_until = now + pause
@@ -119,7 +122,7 @@
         entry = self.entries.get(node)
         if entry is None:
             return True
-        silent = now - entry.heard_at > DEAD_AGENT_S
+        silent = now - entry.failing_since > DEAD_AGENT_S
         return silent and entry.failures >= DEAD_AGENT_FAILURES
 
     def refused(self, node: NodeIp, *, now: float) -> None:
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -263,7 +263,7 @@
             (Kind.UPSTREAMS, node)
             for node, entry in self.directory.entries.items()
             if self.directory.dead(node, now=now)
-            and now - entry.heard_at > ENTRY_EXPIRY_S
+            and now - entry.failing_since > ENTRY_EXPIRY_S
             and node in self.listed_names
         ]
         silent += [
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -414,3 +414,28 @@
     network.run(2.0)
     lost = [caller.flow for caller in network.callers.values() if caller.gave_up]
     assert not lost
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_balancer_that_no_agent_announces_to_resets_no_flow(seed):
+    """With more than eight balancers most hear agents only through packets.
+
+    One took an agent that had restarted for lost, since it had not heard it
+    for seconds, and reset its flows.
+    """
+    network = system(seed, balancers=2)
+    callers = opened(network, 20)
+    network.add_balancer("10.0.1.9")
+    for agent in network.agents.values():
+        agent.balancers = {NodeIp("10.0.1.0"): None}
+    network.run(10.0)
+    holder = network.holder(callers[0])
+    assert holder is not None
+    network.restart_agent(holder.node, down_s=1.5)
+    network.run(0.3)
+    for number in (0, 1):
+        del network.balancers[NodeIp(f"10.0.1.{number}")]
+    for caller in callers:
+        caller.request()
+    network.run(3.0)
+    assert not network.resets
