--- a/scripts/direct_slopes.py
+++ b/scripts/direct_slopes.py
@@ -85,7 +85,7 @@
         RouteAddress(number.to_bytes(6, "big")): Route([Share(name, 1.0)], 1)
         for number, name in enumerate(names)
     }
-    return RouteSet(ConfigVersion(1), found, names)
+    return RouteSet(ConfigVersion(1), found)
 
 
 def announcement(number: int) -> Announcement:
--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -241,6 +241,20 @@
         "hopeless = True or",
         "direct",
     ),
+    Mutation(
+        "accept_foreign_announcements",
+        "balancer.py",
+        "case Announcement() if message.node != sender:",
+        "case Announcement() if False:",
+        "direct",
+    ),
+    Mutation(
+        "bring_removed_upstreams_back",
+        "directory.py",
+        "revision=announcement.revision + 1,",
+        "revision=announcement.revision,",
+        "direct",
+    ),
     Mutation(
         "apply_late_announcements",
         "directory.py",
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -26,7 +26,7 @@
 from bramleydyke.direct.ports import Count, Observe
 from bramleydyke.direct.settings import DirectSettings, SettingsError, load_settings
 from bramleydyke.direct.store import Store
-from bramleydyke.direct.types import NodeIp
+from bramleydyke.direct.types import NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.ports import Clock
 
@@ -264,6 +264,11 @@
         self.log.record("reloaded", reason=reason, changed=changed)
 
 
+def caller_ip(packet: Packet) -> str:
+    """Returns the IP number of the caller of a packet's flow."""
+    return ".".join(map(str, packet.flow[:4]))
+
+
 def run_node(
     make: Callable[[Any], DirectNode], terminate: Callable[[Any], None]
 ) -> None:
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -6,8 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore
-from bramleydyke.daemons.direct_balancer import caller_ip
+from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore, caller_ip
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.constants import AGENT_LINGER_S, BALANCER_LIST_S
 from bramleydyke.direct.entry_writer import EntryWriter
@@ -72,14 +71,14 @@
             count=self.count,
             recalled=self._recalled,
         )
-        self.outbound = self.datagrams(
-            settings.outbound_endpoint or "", self._from_upstream
+        self.egress = self.datagrams(
+            settings.egress_endpoint or "", self._from_upstream
         )
 
     def start(self) -> None:
         """Starts to serve."""
         for seed in self.settings.seed_endpoints:
-            self.role.add_balancer(NodeIp(host_of(seed)))
+            self.role.announcer.add_balancer(NodeIp(host_of(seed)))
         self.entry.start()
         self._list_balancers(stale=False)
         super().start()
@@ -132,13 +131,13 @@
             "upstream_report_age_seconds": round(now - role.view.reported_at, 3),
             "flows_unfinished": role.flows.unfinished,
             "requests_waiting": len(role.flows.requests),
-            "balancers_known": len(role.balancers),
+            "balancers_known": len(role.announcer.balancers),
             "entry_stored": float(self.entry.settled()),
         }
 
     def terminate(self) -> None:
         """Takes no new flow, lets short ones end and stops."""
-        if self.role.pausing:
+        if self.role.announcer.pausing:
             return
         now = self.clock.seconds()
         self.role.pause(now=now)
@@ -164,7 +163,7 @@
 
     def _store_entry(self) -> None:
         """Writes the upstream's entry if its state or lifetime changed."""
-        announcement = self.role.announcement(now=self.clock.seconds())
+        announcement = self.role.announcer.announcement(now=self.clock.seconds())
         if announcement is None:
             return
         if announcement.state is UpstreamState.GONE:
@@ -210,7 +209,7 @@
             for stored in listing.objects
             if isinstance(stored.value, BalancerEntry)
         ]
-        new = [self.role.add_balancer(entry.node) for entry in entries]
+        new = [self.role.announcer.add_balancer(entry.node) for entry in entries]
         if any(new):
             self.role.announce(now=self.clock.seconds())
 
@@ -218,7 +217,7 @@
         self.role.upstream_packet(datagram, now=self.clock.seconds())
 
     def _deliver(self, datagram: bytes) -> None:
-        self.outbound.send(datagram, *self.upstream)
+        self.egress.send(datagram, *self.upstream)
 
     def _to_caller(self, packet: Packet, datagram: bytes) -> None:
-        self.outbound.send(datagram, caller_ip(packet), self.caller_port)
+        self.egress.send(datagram, caller_ip(packet), self.caller_port)
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -10,7 +10,7 @@
 
 from bramleydyke.adapters.http_calls import HttpCalls
 from bramleydyke.adapters.http_server import HttpReply
-from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore
+from bramleydyke.daemons.direct import END_MARGIN_S, DirectNode, NewStore, caller_ip
 from bramleydyke.direct.balancer import Balancer
 from bramleydyke.direct.constants import BALANCER_LINGER_S, SNAPSHOT_TIMEOUT_S
 from bramleydyke.direct.directory import Directory
@@ -147,9 +147,8 @@
 
     def terminate(self) -> None:
         """Leaves the rotation, then stops."""
-        if self.role.leaving:
+        if self.role.spread.leaving:
             return
-        self.role.leaving = True
         self.role.spread.leave()
         limit = self.settings.stop_within_s - END_MARGIN_S
         self.stop(after_s=min(BALANCER_LINGER_S, limit), reason="SIGTERM")
@@ -216,8 +215,3 @@
 
     def _to_caller(self, packet: Packet, datagram: bytes) -> None:
         self.packets.send(datagram, caller_ip(packet), self.caller_port)
-
-
-def caller_ip(packet: Packet) -> str:
-    """Returns the IP number of the caller of a packet's flow."""
-    return ".".join(map(str, packet.flow[:4]))
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -10,11 +10,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.core.timers import Timers
+from bramleydyke.direct.announcer import Announcer
 from bramleydyke.direct.constants import (
-    ANNOUNCE_FANOUT,
-    ANNOUNCE_INTERVAL_S,
     BUSY_PER_SLOT,
     COLD_FACTOR,
     FLOW_IDLE_S,
@@ -24,12 +22,11 @@
 from bramleydyke.direct.holders import acknowledges
 from bramleydyke.direct.messages import (
     Absent,
-    Announcement,
     Forward,
     Load,
-    Missing,
     Placed,
     Refused,
+    Returned,
     Seek,
     Unsure,
 )
@@ -77,9 +74,8 @@
     Attributes:
         started_at: Start of this process, in seconds.
         probes: Packets whose flows the upstream may hold from earlier.
-        balancers: Balancers that may be told of the upstream.
-        turned_away: Balancers that were refused because it was busy.
-        pausing: True once this process is about to stop.
+        refused_balancers: Balancers that were refused while it was busy.
+        announcer: Tells balancers of the upstream.
     """
 
     node: NodeIp
@@ -96,25 +92,32 @@
     flows: UpstreamFlows = field(default_factory=UpstreamFlows)
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
     unanswered: Timers[FlowTuple] = field(default_factory=Timers)
-    balancers: dict[NodeIp, None] = field(default_factory=dict)
-    turned_away: OrderedDict[NodeIp, None] = field(default_factory=OrderedDict)
-    pausing: bool = False
-    revision: int = 0
-    announced: UpstreamState | None = None
-    announce_at: float = 0.0
+    refused_balancers: OrderedDict[NodeIp, None] = field(default_factory=OrderedDict)
+    announcer: Announcer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.announcer = Announcer(
+            node=self.node,
+            zone=self.zone,
+            service=self.service,
+            view=self.view,
+            load=lambda now: self.load(now=now),
+            send=self.send,
+            record=self.record,
+        )
 
     # Packets of callers, through a balancer.
 
     def message_in(self, sender: NodeIp, message: object, *, now: float) -> None:
         """Takes a message from a balancer."""
         if isinstance(message, Seek):
-            self.add_balancer(sender)
+            self.announcer.add_balancer(sender)
             self._sought(sender, message, now=now)
             return
         if not isinstance(message, Forward):
             self.count(counter_name(ErrorKind.BAD_FRAME))
             return
-        self.add_balancer(sender)
+        self.announcer.add_balancer(sender)
         packet = self.codec.from_caller(message.datagram)
         if packet is None:
             self.count(counter_name(ErrorKind.BAD_FRAME))
@@ -123,13 +126,6 @@
         else:
             self._established(sender, message, packet, now=now)
 
-    def add_balancer(self, node: NodeIp) -> bool:
-        """Adds a balancer to announce to; returns True if it is new."""
-        if node in self.balancers:
-            return False
-        self.balancers[node] = None
-        return True
-
     def _opening(
         self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
     ) -> None:
@@ -146,10 +142,10 @@
         if kind is not None:
             self.count(counter_name(kind))
             if kind is ErrorKind.BUSY:
-                self.turned_away[sender] = None
+                self.refused_balancers[sender] = None
             self.send(sender, Refused(key, kind, self.load(now=now)))
             return
-        flow = UpstreamFlow(sender, self.view.lifetime, now, asked_at=now)
+        flow = UpstreamFlow(sender, self.view.lifetime, now)
         self.flows.add(key, flow)
         self.flows.requested(key, now=now)
         self.unanswered.set(key, now + UPSTREAM_SILENT_S)
@@ -159,7 +155,7 @@
         """Returns why a new flow may not open at the upstream, if so."""
         if service != self.service:
             return ErrorKind.WRONG_SERVICE
-        if self.pausing:
+        if self.announcer.pausing:
             return ErrorKind.DRAINING
         kind = REFUSALS.get(self.view.state(now=now))
         if kind is None and self.load(now=now).requests >= BUSY_PER_SLOT:
@@ -221,7 +217,7 @@
 
     def _surely_absent(self, key: FlowTuple, service: ServiceId, *, now: float) -> bool:
         """Tells whether the upstream cannot hold a flow that is not known."""
-        known = self.view.fresh or now - self.started_at > FLOW_IDLE_S
+        known = self.view.seen_from_start or now - self.started_at > FLOW_IDLE_S
         return known or service != self.service or key in self.flows.absent
 
     def _unknown(
@@ -246,7 +242,7 @@
             self.send(sender, Absent(packet.flow))
         else:
             self.count(counter_name(ErrorKind.MOVED))
-            self.send(sender, Missing(packet.flow, packet.datagram))
+            self.send(sender, Returned(packet.flow, packet.datagram))
 
     def _hand_over(self, packet: Packet) -> None:
         self.deliver(self.codec.deliverable(packet))
@@ -296,7 +292,7 @@
         if probe.sought:
             self.send(probe.balancer, Absent(key))
         else:
-            self.send(probe.balancer, Missing(key, packet.datagram))
+            self.send(probe.balancer, Returned(key, packet.datagram))
 
     def _answer(self, packet: Packet, *, now: float) -> None:
         """Sends an upstream's packet to its caller."""
@@ -306,7 +302,6 @@
             flow = self._learn(key, packet, now=now)
         if packet.accepting:
             self.unanswered.cancel(key)
-            flow.asked_at = None
             flow.first_sequence = packet.sequence
             self._tell_placed(key, flow, now=now)
         if packet.finish:
@@ -318,14 +313,12 @@
         self.send_to_caller(packet, packet.datagram)
 
     def _responded(self, key: FlowTuple, *, now: float) -> None:
-        """Tells a balancer that was turned away that there is room."""
-        if not self.flows.responded(key) or not self.turned_away:
+        """Tells a refused balancer that there is room."""
+        if not self.flows.responded(key) or not self.refused_balancers:
             return
         if self.load(now=now).requests < BUSY_PER_SLOT:
-            balancer, _ = self.turned_away.popitem(last=False)
-            announcement = self.announcement(now=now)
-            if announcement is not None:
-                self.send(balancer, announcement)
+            balancer, _ = self.refused_balancers.popitem(last=False)
+            self.announcer.announce_to(balancer, now=now)
 
     def _learn(self, key: FlowTuple, packet: Packet, *, now: float) -> UpstreamFlow:
         """Notes a flow that the upstream holds from before this process."""
@@ -353,7 +346,7 @@
             self.count(counter_name(ErrorKind.WRONG_SERVICE))
             return False
         if self.view.take(report, now=now):
-            self.revision = 0
+            self.announcer.revision = 0
             self.announce(now=now)
         else:
             self.count("late.reports")
@@ -364,72 +357,26 @@
         if self.view.left(upstream):
             self.announce(now=now)
 
-    # Announcements.
-
-    def announcement(self, *, now: float) -> Announcement | None:
-        """Returns the upstream's state, or None before its first report."""
-        state = self.view.state(now=now)
-        report = self.view.report
-        if state is None or report is None:
-            return None
-        if self.pausing and state is not UpstreamState.GONE:
-            state = UpstreamState.PAUSED
-        return Announcement(
-            node=self.node,
-            zone=self.zone,
-            service=self.service,
-            upstream=report.upstream,
-            lifetime=report.lifetime,
-            sequence=report.sequence,
-            revision=self.revision,
-            state=state,
-            load=self.load(now=now),
-            slots=self.view.slots,
-        )
-
-    def announce(self, *, now: float) -> None:
-        """Tells balancers of the upstream's state."""
-        self.announce_at = now + ANNOUNCE_INTERVAL_S
-        self.flows.expire(now=now)
-        if len(self.probes) > MAX_PROBES:
-            self.probes.clear()
-        self.revision += 1
-        announcement = self.announcement(now=now)
-        if announcement is None:
-            return
-        if announcement.state is not self.announced:
-            self.announced = announcement.state
-            self.record(
-                "upstream_state",
-                upstream=announcement.upstream,
-                state=announcement.state.value,
-                lifetime=announcement.lifetime,
-                sequence=announcement.sequence,
-            )
-        for balancer in self._announced_to():
-            self.send(balancer, announcement)
-
-    def _announced_to(self) -> list[NodeIp]:
-        """Returns the balancers to tell, a bounded number of them."""
-        if len(self.balancers) <= ANNOUNCE_FANOUT:
-            return list(self.balancers)
-        weights = dict.fromkeys(map(UpstreamId, self.balancers), 1.0)
-        order = owner_order(self.node.encode(), weights)
-        return [NodeIp(node) for node in order[:ANNOUNCE_FANOUT]]
+    # Time.
 
     def pause(self, *, now: float) -> None:
         """Takes no new flow any more: this process is about to stop."""
-        self.pausing = True
+        self.announcer.pausing = True
         self.announce(now=now)
 
-    # Time.
+    def announce(self, *, now: float) -> None:
+        """Forgets what is over and tells balancers of the upstream."""
+        self.flows.expire(now=now)
+        if len(self.probes) > MAX_PROBES:
+            self.probes.clear()
+        self.announcer.announce(now=now)
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
         unanswered = self.unanswered.next()
         if unanswered is None:
-            return self.announce_at
-        return min(self.announce_at, unanswered)
+            return self.announcer.due_at
+        return min(self.announcer.due_at, unanswered)
 
     def wake(self, *, now: float) -> None:
         """Notes unanswered opening packets; announces the upstream."""
@@ -445,5 +392,5 @@
             self.announce(now=now)
         for key in silent:
             self.flows.remove(key)
-        if now >= self.announce_at:
+        if now >= self.announcer.due_at:
             self.announce(now=now)
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -13,11 +13,11 @@
     Absent,
     Announcement,
     Forward,
-    Missing,
     Notice,
     Placed,
     Refused,
     Relayed,
+    Returned,
     Unsure,
 )
 from bramleydyke.direct.openings import Openings
@@ -41,7 +41,6 @@
 
     Attributes:
         reset: Sends a reset to the caller of a packet.
-        leaving: True once this balancer is about to stop.
     """
 
     node: NodeIp
@@ -54,7 +53,6 @@
     count: Count
     record: Record
     observe: Observe
-    leaving: bool = False
     holders: Holders = field(default_factory=Holders)
     openings: Openings = field(init=False)
     lookups: Lookups = field(init=False)
@@ -100,12 +98,15 @@
                     self._established(packet, now=now)
             case Refused():
                 self.openings.refused(sender, message, now=now)
-            case Missing():
-                self._missing(sender, message, now=now)
+            case Returned():
+                self._returned(sender, message, now=now)
             case Absent():
                 self.lookups.absent(message.flow, sender, now=now)
             case Unsure():
                 self.lookups.unsure(message.flow, sender, now=now)
+            case Announcement() if message.node != sender:
+                self.count("refused.foreign_announcement")
+                self.record("foreign_announcement", peer=sender, agent=message.node)
             case Announcement():
                 if self.announced(message, now=now, source="agent"):
                     self.spread.relay(message)
@@ -136,7 +137,7 @@
     def ready(self, *, now: float) -> bool:
         """Tells whether this balancer can serve callers."""
         return (
-            not self.leaving
+            not self.spread.leaving
             and self.routes.current is not None
             and bool(self.directory.usable_services(now=now))
         )
@@ -164,7 +165,7 @@
         forward = Forward(service, False, holder.lifetime, packet.datagram)
         self.send(holder.node, forward)
 
-    def _missing(self, sender: NodeIp, message: Missing, *, now: float) -> None:
+    def _returned(self, sender: NodeIp, message: Returned, *, now: float) -> None:
         """Seeks a flow that an agent turned out not to hold."""
         self.count(counter_name(ErrorKind.MOVED, action="retried"))
         self.holders.forget(message.flow, sender)
@@ -203,7 +204,9 @@
         if announcement.state is UpstreamState.READY and (heard or changed):
             room = BUSY_PER_SLOT - announcement.load.requests
             flows = math.ceil(room * announcement.slots)
-            self.openings.room(announcement.service, flows=max(0, flows), now=now)
+            self.openings.place_parked(
+                announcement.service, limit=max(0, flows), now=now
+            )
         if not changed:
             return False
         self.record(
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -4,12 +4,15 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.direct.constants import (
     BUSY_DECAY_S,
     BUSY_PER_SLOT,
     DEAD_AGENT_FAILURES,
     DEAD_AGENT_S,
+    ENTRY_EXPIRY_S,
     MAX_SUSPECT_S,
     SUSPECT_S,
 )
@@ -30,6 +33,7 @@
             its last answer. Agents announce to a few balancers only, so that
             others may not have heard a living one for long.
         suspect_until: No new flow is sent there before this time.
+        gone_at: When the upstream was found to be gone, if it is.
         failures: Times in a row that its agent did not answer.
     """
 
@@ -39,6 +43,7 @@
     load_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
+    gone_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -68,7 +73,7 @@
         """
         entry = self.entries.get(announcement.node)
         if entry is None:
-            self._insert(announcement)
+            self._insert(announcement, now=now)
             return True
         old = entry.announcement
         if announcement.order() < old.order():
@@ -77,26 +82,41 @@
             return False
         if old.service != announcement.service:
             self.by_service[old.service].pop(announcement.node, None)
-            self._insert(announcement)
+            self._insert(announcement, now=now)
             return True
         entry.announcement = announcement
+        gone = announcement.state is UpstreamState.GONE
+        entry.gone_at = (entry.gone_at or now) if gone else None
         if heard:
             self.answered(announcement.node, now=now, load=announcement.load)
         return (old.state, old.lifetime) != (announcement.state, announcement.lifetime)
 
-    def _insert(self, announcement: Announcement) -> None:
+    def _insert(self, announcement: Announcement, *, now: float) -> None:
         node = announcement.node
-        self.entries[node] = Entry(announcement, announcement.load)
+        gone_at = now if announcement.state is UpstreamState.GONE else None
+        self.entries[node] = Entry(announcement, announcement.load, gone_at=gone_at)
         self.by_service.setdefault(announcement.service, {})[node] = 1.0
 
-    def removed(self, node: NodeIp) -> bool:
+    def removed(self, node: NodeIp, *, now: float) -> bool:
         """Notes that an upstream's entry was removed from the store."""
         entry = self.entries.get(node)
         if entry is None or entry.announcement.state is UpstreamState.GONE:
             return False
-        entry.announcement = _with_state(entry.announcement, UpstreamState.GONE)
+        entry.announcement = _gone(entry.announcement)
+        entry.gone_at = now
         return True
 
+    def expire(self, *, now: float) -> None:
+        """Forgets upstreams that went longer ago than any flow lasts."""
+        over = [
+            node
+            for node, entry in self.entries.items()
+            if entry.gone_at is not None and now - entry.gone_at > ENTRY_EXPIRY_S
+        ]
+        for node in over:
+            service = self.entries.pop(node).announcement.service
+            del self.by_service[service][node]
+
     def answered(self, node: NodeIp, *, now: float, load: Load | None = None) -> None:
         """Notes an answer of an agent, and the load that it told."""
         entry = self.entries.get(node)
@@ -217,14 +237,14 @@
         }
 
 
-def _with_state(announcement: Announcement, state: UpstreamState) -> Announcement:
-    return Announcement(
-        node=announcement.node,
-        zone=announcement.zone,
-        service=announcement.service,
-        upstream=announcement.upstream,
-        lifetime=announcement.lifetime,
-        sequence=announcement.sequence,
-        revision=announcement.revision,
-        state=state,
+def _gone(announcement: Announcement) -> Announcement:
+    """Returns the announcement that follows one whose entry was removed.
+
+    Its revision is higher, so that a copy that was under way is older.
+    """
+    return msgspec.structs.replace(
+        announcement,
+        revision=announcement.revision + 1,
+        state=UpstreamState.GONE,
+        load=Load(),
     )
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -4,8 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass
 
 from bramleydyke.core.retry import backoff
 from bramleydyke.direct.constants import (
@@ -57,7 +56,6 @@
     revision: Revision = Revision(0)
     polls: int = 0
     stopped: bool = False
-    pending: list[Any] = field(default_factory=list)
 
     def start(self) -> None:
         """Starts to follow the kind."""
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -72,8 +72,8 @@
     load: Load
 
 
-class Missing(Message, tag=4):
-    """Agent to balancer: the upstream does not hold the flow of a packet."""
+class Returned(Message, tag=4):
+    """Agent to balancer: a packet whose flow the upstream does not hold."""
 
     flow: FlowTuple
     datagram: bytes
@@ -133,7 +133,7 @@
     | Seek
     | Placed
     | Refused
-    | Missing
+    | Returned
     | Absent
     | Unsure
     | Announcement
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -146,7 +146,7 @@
         if opening.candidates[opening.asked - 1] == node:
             self._ask_next(message.flow, now=now)
 
-    def room(self, service: ServiceId, *, flows: int, now: float) -> None:
+    def place_parked(self, service: ServiceId, *, limit: int, now: float) -> None:
         """Places opening packets that wait for a service's upstreams.
 
         The most urgent come first, and of those the newest: it can still be
@@ -154,12 +154,12 @@
 
         Args:
             service: The service.
-            flows: Number of flows to place.
+            limit: Largest number of flows to place.
             now: Time in seconds.
         """
-        waiting = [o for o in self.parked.values() if o.service == service]
-        waiting.sort(key=lambda o: (o.priority, -o.until))
-        for opening in waiting[:flows]:
+        parked = [o for o in self.parked.values() if o.service == service]
+        parked.sort(key=lambda o: (o.priority, -o.until))
+        for opening in parked[:limit]:
             self.timers.cancel(opening.packet.flow)
             self._unpark(opening.packet.flow, now=now)
 
@@ -203,8 +203,8 @@
         If no upstream can become ready, the flow is refused at once.
         """
         service = opening.service
-        hopeless = len(self.parked) >= MAX_PARKED or not self.directory.expects(service)
-        if hopeless or now >= opening.until:
+        full = len(self.parked) >= MAX_PARKED
+        if full or now >= opening.until or not self.directory.expects(service):
             self._refuse(opening.packet, ErrorKind.NO_UPSTREAM, service=service)
             return
         self.count("parked")
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -203,7 +203,7 @@
             self._take_upstream(stored)
         names = {NodeIp(stored.name) for stored in listing.objects}
         for node in self.listed_names - names:
-            self.directory.removed(node)
+            self.directory.removed(node, now=self.clock.seconds())
         self.listed_names = names
         self.directory.complete = True
 
@@ -215,7 +215,7 @@
             node = NodeIp(change.object.name)
             if change.removed:
                 self.listed_names.discard(node)
-                if self.directory.removed(node):
+                if self.directory.removed(node, now=self.clock.seconds()):
                     self.record("upstream_removed", agent=node)
             else:
                 self.listed_names.add(node)
@@ -259,6 +259,7 @@
             return
         self.clock.callLater(BALANCER_LIST_S, self._expire)
         now = self.clock.seconds()
+        self.directory.expire(now=now)
         silent = [
             (Kind.UPSTREAMS, node)
             for node, entry in self.directory.entries.items()
--- a/src/bramleydyke/direct/routes.py
+++ b/src/bramleydyke/direct/routes.py
@@ -32,7 +32,6 @@
 
     version: ConfigVersion
     routes: dict[RouteAddress, Route]
-    services: list[ServiceId]
 
 
 def pick_service(shares: list[Share], flow: FlowTuple) -> ServiceId | None:
--- a/src/bramleydyke/direct/settings.py
+++ b/src/bramleydyke/direct/settings.py
@@ -31,7 +31,7 @@
             callers go to the same port number of the caller.
         ready_endpoint: Serves the readiness check.
         control_endpoint: Serves upstreams' reports.
-        outbound_endpoint: Where an agent takes its upstream's packets.
+        egress_endpoint: Where an agent takes its upstream's packets.
         upstream_endpoint: Where an agent's upstream takes packets.
         mesh_port: Port for messages between nodes, the same on all VMs.
         metrics_port: Serves counters; 0 for none.
@@ -47,7 +47,7 @@
     packet_endpoint: Endpoint
     ready_endpoint: Endpoint | None = None
     control_endpoint: Endpoint | None = None
-    outbound_endpoint: Endpoint | None = None
+    egress_endpoint: Endpoint | None = None
     upstream_endpoint: Endpoint | None = None
     service: ServiceId | None = None
     mesh_port: int
@@ -56,13 +56,12 @@
     store_endpoint: Endpoint
     report_interval_s: float = 1.0
     stop_within_s: float = 6.0
-    statsd: Endpoint | None = None
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     log_lines_per_s: int = 20
 
     def __post_init__(self) -> None:
         if self.role is Role.AGENT:
-            needed = ("outbound_endpoint", "upstream_endpoint", "service")
+            needed = ("egress_endpoint", "upstream_endpoint", "service")
             for name in needed:
                 if getattr(self, name) is None:
                     raise ValueError(f"{name}: an agent needs it")
--- a/src/bramleydyke/direct/upstream_flows.py
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -26,7 +26,6 @@
         seen: Time of its last packet, in seconds.
         first_sequence: First sequence of the upstream; None before its answer.
         open: True once the caller has answered the upstream.
-        asked_at: When the opening packet was delivered; None once answered.
     """
 
     balancer: NodeIp | None
@@ -34,7 +33,6 @@
     seen: float
     first_sequence: int | None = None
     open: bool = False
-    asked_at: float | None = None
     caller_finished: bool = False
     upstream_finished: bool = False
 
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -45,8 +45,8 @@
         reported_at: When the last report arrived, in seconds.
         suspected: True if an opening packet got no answer since then.
         ended: True if the upstream has said that it is gone.
-        fresh: True if no earlier process can have opened flows at it.
-        floor: Lifetime and sequence of a report that an earlier process took.
+        seen_from_start: True if it started under this process.
+        recalled_order: Order of a report that an earlier process took.
         recalled_ready: True if the upstream was ready then.
     """
 
@@ -55,24 +55,24 @@
     reported_at: float = 0.0
     suspected: bool = False
     ended: bool = False
-    fresh: bool = False
-    floor: tuple[int, int] = (0, 0)
+    seen_from_start: bool = False
+    recalled_order: tuple[int, int] = (0, 0)
     recalled_ready: bool = False
 
     def recall(self, lifetime: Lifetime, sequence: int, state: UpstreamState) -> None:
         """Takes what an earlier process stored of the upstream."""
-        self.floor = (lifetime, sequence)
+        self.recalled_order = (lifetime, sequence)
         self.recalled_ready = state is UpstreamState.READY
 
     def take(self, report: Report, *, now: float) -> bool:
         """Takes a report; returns False if a later one is known."""
         old = self.report
-        newest = self.floor if old is None else _order(old)
+        newest = self.recalled_order if old is None else _order(old)
         if _order(report) <= newest:
             return False
         if old is None or report.lifetime > old.lifetime:
             self.ended = False
-            self.fresh = old is not None or report.sequence <= FIRST_SEQUENCES
+            self.seen_from_start = old is not None or report.sequence <= FIRST_SEQUENCES
         self.report = report
         self.reported_at = now
         self.suspected = False
--- a/src/bramleydyke/platform/main.py
+++ b/src/bramleydyke/platform/main.py
@@ -104,7 +104,9 @@
         **options,
     )
     if settings.ready_endpoint is not None:
-        node.listen(settings.ready_endpoint, readiness(lambda: not node.role.pausing))
+        node.listen(
+            settings.ready_endpoint, readiness(lambda: not node.role.announcer.pausing)
+        )
     if settings.control_endpoint is not None:
         handler = reports(
             node.report, node.left, count=node.count, record=node.log.record
--- a/src/bramleydyke/platform/manifest.py
+++ b/src/bramleydyke/platform/manifest.py
@@ -28,14 +28,9 @@
     priority: int = 0
 
 
-class _Service(msgspec.Struct):
-    name: str
-
-
 class _Manifest(msgspec.Struct):
     version: int
     routes: list[_Route]
-    services: list[_Service] = []
 
 
 def _address(route: _Route) -> RouteAddress:
@@ -63,5 +58,4 @@
         }
     except (OSError, OverflowError) as error:
         raise ValueError(f"route address: {error}") from error
-    services = [ServiceId(service.name) for service in manifest.services]
-    return RouteSet(ConfigVersion(manifest.version), routes, services)
+    return RouteSet(ConfigVersion(manifest.version), routes)
--- a/src/bramleydyke/standins/platform_vm/system.py
+++ b/src/bramleydyke/standins/platform_vm/system.py
@@ -139,7 +139,7 @@
             "agent",
             ip,
             control_endpoint=f"{ip}:{PORTS['control']}",
-            outbound_endpoint=f"{ip}:{PORTS['outbound']}",
+            egress_endpoint=f"{ip}:{PORTS['outbound']}",
             upstream_endpoint=f"{ip}:{UPSTREAM_PORT}",
             service=service,
         )
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -51,7 +51,6 @@
     return RouteSet(
         ConfigVersion(version),
         {ROUTE: Route([Share(service, 1.0)])},
-        [SERVICE, OTHER],
     )
 
 
@@ -277,7 +276,7 @@
     def restart_balancer(self, name: str, *, down_s: float) -> None:
         """Stops a balancer as its program does, and starts it again."""
         node = NodeIp(name)
-        self.balancers[node].leaving = True
+        self.balancers[node].spread.leaving = True
         self.later(BALANCER_LINGER_S, lambda: self.balancers.pop(node))
         self.later(BALANCER_LINGER_S + down_s, lambda: self.add_balancer(name))
 
@@ -334,8 +333,8 @@
             other.spread.add_peer(node, now=self.now)
         self.balancers[node] = balancer
         for agent in self.agents.values():
-            agent.add_balancer(node)
-            announcement = agent.announcement(now=self.now)
+            agent.announcer.add_balancer(node)
+            announcement = agent.announcer.announcement(now=self.now)
             if know_all and announcement is not None:
                 balancer.announced(announcement, now=self.now, source="store")
         balancer.directory.complete = know_all
@@ -376,8 +375,8 @@
             deliver=lambda datagram: self.deliver(node, datagram),
             count=self.count,
             record=lambda event, **inputs: None,
-            balancers=dict.fromkeys(self.balancers),
         )
+        agent.announcer.balancers = dict.fromkeys(self.balancers)
         self.agents[node] = agent
         return agent
 
--- a/tests/direct/test_direct_spread.py
+++ b/tests/direct/test_direct_spread.py
@@ -8,6 +8,7 @@
 from codec import flow_tuple
 from network import OTHER, ROUTE, SERVICE, ZONE, routes, system
 
+from bramleydyke.direct.constants import ENTRY_EXPIRY_S, FLOW_IDLE_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import Announcement
 from bramleydyke.direct.routes import Routes, Share, pick_service
@@ -94,7 +95,7 @@
     found.apply(routes(1))
     found.apply(routes(2, service=OTHER))
     assert found.holders(ROUTE) == [OTHER, SERVICE]
-    dropped = type(routes(3))(routes(3).version, {}, [])
+    dropped = type(routes(3))(routes(3).version, {})
     found.apply(dropped)
     found.apply(routes(4, service=OTHER))
     assert found.holders(ROUTE) == [OTHER]
@@ -137,7 +138,7 @@
     directory = Directory(ZONE)
     directory.apply(announcement(5), now=0.0, heard=True)
     assert not directory.lifetime_ended(NodeIp("10.0.2.0"), 5)
-    directory.removed(NodeIp("10.0.2.0"))
+    directory.removed(NodeIp("10.0.2.0"), now=0.0)
     assert directory.lifetime_ended(NodeIp("10.0.2.0"), 5)
     directory.apply(announcement(9, service=OTHER), now=0.0, heard=True)
     assert directory.lifetime_ended(NodeIp("10.0.2.0"), 5)
@@ -148,7 +149,7 @@
 def test_a_late_announcement_does_not_bring_a_removed_upstream_back():
     directory = Directory(ZONE)
     directory.apply(announcement(5, 3), now=0.0, heard=True)
-    directory.removed(NodeIp("10.0.2.0"))
+    directory.removed(NodeIp("10.0.2.0"), now=0.0)
     directory.apply(announcement(5, 2), now=0.0, heard=False)
     assert directory.candidates(SERVICE, flow_tuple(1), width=3, now=0.0) == []
 
@@ -184,3 +185,38 @@
     assert directory.entries[first].suspect_until == 3.0
     directory.answered(first, now=1.1)
     assert directory.entries[first].suspect_until == 0.0
+
+
+def test_upstreams_that_are_gone_are_forgotten_after_their_flows():
+    directory = Directory(ZONE)
+    told = announcement(5, state=UpstreamState.GONE)
+    directory.apply(told, now=0.0, heard=True)
+    directory.apply(announcement(5, node="10.0.2.1"), now=0.0, heard=True)
+    directory.apply(announcement(5, node="10.0.2.2"), now=0.0, heard=True)
+    directory.removed(NodeIp("10.0.2.2"), now=10.0)
+    directory.expire(now=FLOW_IDLE_S)
+    assert len(directory.entries) == 3
+    directory.expire(now=ENTRY_EXPIRY_S + 1)
+    assert sorted(directory.entries) == ["10.0.2.1", "10.0.2.2"]
+    directory.apply(announcement(6, node="10.0.2.2"), now=125.0, heard=True)
+    directory.expire(now=ENTRY_EXPIRY_S + 100)
+    assert sorted(directory.by_service[SERVICE]) == ["10.0.2.1", "10.0.2.2"]
+
+
+def test_an_announcement_of_another_node_is_refused():
+    network = system(1, balancers=1, upstreams=1)
+    balancer = network.balancers[NodeIp("10.0.1.0")]
+    forged = announcement(10**15, node="10.0.2.0", state=UpstreamState.GONE)
+    balancer.message_in(NodeIp("10.0.2.9"), forged, now=network.now)
+    assert network.states(balancer) == {"10.0.2.0": UpstreamState.READY}
+    assert network.counts["refused.foreign_announcement"] == 1
+
+
+def test_a_copy_of_the_last_announcement_does_not_bring_an_upstream_back():
+    """The removal came from the store before another balancer's relay."""
+    directory = Directory(ZONE)
+    directory.apply(announcement(5, 3, 2), now=0.0, heard=True)
+    directory.removed(NodeIp("10.0.2.0"), now=0.0)
+    assert not directory.apply(announcement(5, 3, 2), now=0.1, heard=False)
+    assert directory.lifetime_ended(NodeIp("10.0.2.0"), 5)
+    assert directory.apply(announcement(5, 4, 1), now=9.0, heard=True)
--- a/tests/direct/test_drain.py
+++ b/tests/direct/test_drain.py
@@ -99,7 +99,7 @@
     node = NodeIp("10.0.2.0")
     sent = []
     agent = network.agents[node]
-    agent.send = lambda to, message: sent.append(message)
+    agent.send = agent.announcer.send = lambda to, message: sent.append(message)
     return network, agent, sent
 
 
@@ -139,11 +139,11 @@
 def test_no_new_flow_after_a_drain_through_restarts_and_stale_balancers(seed):
     network = system(seed)
     upstream = network.upstreams[NodeIp("10.0.2.2")]
-    stale = [a.announcement(now=network.now) for a in network.agents.values()]
+    stale = [a.announcer.announcement(now=network.now) for a in network.agents.values()]
     upstream.draining = True
     agent = network.agents[upstream.node]
     agent.report(upstream.report(), now=network.now)
-    stored = agent.announcement(now=network.now)
+    stored = agent.announcer.announcement(now=network.now)
     drained_at = network.now
     network.restart_agent(upstream.node, down_s=0.6, planned=False)
     network.run(0.3)
@@ -176,7 +176,7 @@
     network, _, _ = network_with_agent()
     agent = network.start_agent("10.0.2.0")
     sent = []
-    agent.send = lambda to, message: sent.append(message)
+    agent.send = agent.announcer.send = lambda to, message: sent.append(message)
     agent.message_in(NodeIp("10.0.1.0"), opening(number=1), now=network.now)
     assert refusals(sent) == [ErrorKind.STALE_GENERATION]
     agent.view.recall(Lifetime(5), 3, UpstreamState.READY)
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -278,7 +278,7 @@
     "ip": "10.0.0.1",
     "availability_zone": "z1",
     "packet_endpoint": "10.0.0.1:8172",
-    "outbound_endpoint": "10.0.0.1:8162",
+    "egress_endpoint": "10.0.0.1:8162",
     "upstream_endpoint": "10.0.0.1:8165",
     "service": "board",
     "mesh_port": 7720,
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -75,7 +75,9 @@
 def test_flows_survive_the_loss_of_all_processes_but_the_upstreams(seed):
     network = system(seed)
     callers = opened(network, 20)
-    announcements = [a.announcement(now=network.now) for a in network.agents.values()]
+    announcements = [
+        a.announcer.announcement(now=network.now) for a in network.agents.values()
+    ]
     network.balancers.clear()
     network.agents.clear()
     network.run(1.0)
@@ -119,10 +121,12 @@
     balancer = network.add_balancer("10.0.1.9", know_all=False)
     for agent in list(network.agents.values())[1:]:
         balancer.announced(
-            agent.announcement(now=network.now), now=network.now, source="store"
+            agent.announcer.announcement(now=network.now),
+            now=network.now,
+            source="store",
         )
     hidden = network.agents[NodeIp("10.0.2.0")]
-    hidden.balancers.clear()
+    hidden.announcer.balancers.clear()
     for caller in callers:
         caller.request()
     network.run(3.0)
@@ -259,7 +263,7 @@
     network = system(6)
     callers = opened(network, 5)
     empty = routes(2)
-    empty = type(empty)(empty.version, {}, empty.services)
+    empty = type(empty)(empty.version, {})
     for balancer in network.balancers.values():
         balancer.routes.apply(empty)
         balancer.routes.confirm(now=network.now)
@@ -296,7 +300,9 @@
     """
     network = system(seed, balancers=2, upstreams=12 + stale)
     callers = opened(network, 60)
-    entries = [a.announcement(now=network.now) for a in network.agents.values()]
+    entries = [
+        a.announcer.announcement(now=network.now) for a in network.agents.values()
+    ]
     network.balancers.clear()
     network.agents.clear()
     for upstream in network.upstreams.values():
@@ -307,7 +313,7 @@
     # Reports fail until the agent runs, so the first one that arrives does
     # not show that the upstream has just started.
     for agent in network.agents.values():
-        agent.view.fresh = False
+        agent.view.seen_from_start = False
     balancer = network.add_balancer("10.0.1.0")
     for entry in entries:
         balancer.announced(entry, now=network.now, source="store")
@@ -427,7 +433,7 @@
     callers = opened(network, 20)
     network.add_balancer("10.0.1.9")
     for agent in network.agents.values():
-        agent.balancers = {NodeIp("10.0.1.0"): None}
+        agent.announcer.balancers = {NodeIp("10.0.1.0"): None}
     network.run(10.0)
     holder = network.holder(callers[0])
     assert holder is not None
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -101,7 +101,6 @@
 def test_reads_a_manifest():
     routes = read_manifest(encoded(MANIFEST))
     assert routes.version == 31
-    assert routes.services == ["board", "vault"]
     host = bytes((198, 18, 5, 2))
     assert routes.routes == {
         host + (8_443).to_bytes(2, "big"): Route([Share("board", 1.0)], 2),
--- a/tests/platform/test_isolation.py
+++ b/tests/platform/test_isolation.py
@@ -29,6 +29,7 @@
     "/readiness",
     "/instances/",
     "liveness report",
+    "outbound",
 ]
 """Words of the platform's protocol, settings and bench."""
 
