--- a/scripts/direct_slopes.py
+++ b/scripts/direct_slopes.py
@@ -120,6 +120,21 @@
     return (time.process_time() - started) / FLOWS * 1e6
 
 
+def imbalance(width: int) -> float:
+    """Returns the busiest upstream over the mean, with a choice of some."""
+    found = Directory(AvailabilityZone("zone-north"))
+    for number in range(0, 51 * SERVICES, SERVICES):
+        found.apply(announcement(number), now=1.0, heard=True)
+    for number in range(200 * 51):
+        nodes = found.candidates(ServiceId("svc0"), flow(number), width=width, now=1.0)
+        found.sent(nodes[0], now=1.0)
+        # Only the flows count here, not the requests in flight.
+        entry = found.entries[nodes[0]]
+        entry.load = Load(0.0, entry.load.total)
+    totals = [entry.load.total for entry in found.entries.values()]
+    return max(totals) / (sum(totals) / len(totals))
+
+
 def in_force_s(nodes: int) -> float:
     """Returns the time until a change is in force at all balancers."""
     network = system(SEED, balancers=nodes, upstreams=1)
@@ -147,8 +162,9 @@
         "notice_bytes": len(encode(Notice(NODE, ConfigVersion(1_000)))),
         "placement_us": placement_us(),
     }
+    figures |= {f"imbalance_of_{width}": imbalance(width) for width in (1, 2, 3, 51)}
     for name, value in figures.items():
-        print(json.dumps({name: round(value, 2)}))
+        print(json.dumps({name: round(value, 3)}))
     for nodes in NODES:
         print(json.dumps({"in_force_s": round(in_force_s(nodes), 2), "nodes": nodes}))
 
--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -55,9 +55,9 @@
     ),
     Mutation(
         "retry_non_idempotent",
-        "placer.py",
-        "silent = placement.idempotent and placement.silent >= SILENT_OFFERS",
-        "silent = placement.idempotent = placement.silent >= SILENT_OFFERS",
+        "placement.py",
+        "silent = self.idempotent and self.silent >= SILENT_OFFERS",
+        "silent = self.idempotent = self.silent >= SILENT_OFFERS",
     ),
     Mutation(
         "ignore_may_have_run",
@@ -111,7 +111,7 @@
         "accept_from_another_agent",
         "placer.py",
         "or message.incarnation != placement.incarnation\n"
-        "            or sender != self._node(placement)",
+        "            or sender != placement.node_id",
         "or message.incarnation != placement.incarnation",
     ),
     Mutation(
@@ -174,7 +174,7 @@
     Mutation(
         "never_try_the_upstream",
         "agent.py",
-        "known = self.view.fresh or now",
+        "known = self.view.seen_from_start or now",
         "known = True or now",
         "direct",
     ),
@@ -237,8 +237,8 @@
     Mutation(
         "refuse_instead_of_waiting",
         "openings.py",
-        "hopeless = len(self.parked) >= MAX_PARKED or",
-        "hopeless = True or",
+        "full = len(self.parked) >= MAX_PARKED",
+        "full = True",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/core/placer.py
+++ b/src/bramleydyke/core/placer.py
@@ -10,38 +10,32 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import InitVar, dataclass, field
-from typing import Protocol
 
 from bramleydyke.constants import (
     ACCEPTED_POLL_S,
     FIRST_REPEAT_S,
-    OFFER_TIMEOUT_S,
     PROBE_FROM_BACKLOG,
     PROBE_TIMEOUT_S,
     SILENT_OFFERS,
 )
-from bramleydyke.core.backlog_probe import Probe
 from bramleydyke.core.candidates import Candidates
+from bramleydyke.core.counting import count
 from bramleydyke.core.load import LoadView
 from bramleydyke.core.members import Members
-from bramleydyke.core.placement import Placement
+from bramleydyke.core.placement import Ended, Placement, Silent
 from bramleydyke.core.retry import RetryBudget, backoff
 from bramleydyke.core.timers import Timers
 from bramleydyke.errors import ANSWERS, ErrorKind, counter_name
 from bramleydyke.messages import (
     Accepted,
     Answer,
-    BacklogQuery,
     BacklogReport,
     Cancelled,
-    Count,
     Envelope,
     Payload,
     Refusal,
 )
 from bramleydyke.types import (
-    LOCAL_METRICS,
-    MemberState,
     NodeId,
     Outcome,
     RequestId,
@@ -50,20 +44,6 @@
     agent_node,
 )
 
-MAX_MOVES = 4
-"""Times that a keyed request follows a pointer to another home in a round."""
-
-
-Ended = Callable[[Placement, Answer | ErrorKind, float], list[Envelope]]
-"""Told how and when a placement ended: the answer, or why there is none."""
-
-
-class Silent(Protocol):
-    """Told that an agent did not reply to repeated offers."""
-
-    def __call__(self, node_id: NodeId, *, now: float) -> None:
-        """Notes the agent."""
-
 
 @dataclass(slots=True, kw_only=True)
 class Placer:
@@ -147,13 +127,13 @@
         if (
             placement is None
             or message.incarnation != placement.incarnation
-            or sender != self._node(placement)
+            or sender != placement.node_id
         ):
             return []
         self._note_load(placement, message.backlog, now=now)
         if not placement.accepted and placement.upstream_id is not None:
             placement.accepted = True
-            self.load.confirmed(agent_node(placement.service_id, placement.upstream_id))
+            self.load.confirmed(sender)
         placement.silent = 0
         self._wake_at(placement, now + ACCEPTED_POLL_S)
         return []
@@ -177,7 +157,7 @@
         if (
             placement is None
             or message.ask != placement.ask
-            or sender != self._node(placement)
+            or sender != placement.node_id
         ):
             return []
         self._note_load(placement, message.backlog, now=now)
@@ -201,11 +181,6 @@
             return None
         return placement
 
-    def _node(self, placement: Placement) -> NodeId | None:
-        if placement.upstream_id is None:
-            return None
-        return agent_node(placement.service_id, placement.upstream_id)
-
     def _begin_round(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Offers the request to the best candidate; probes the others.
 
@@ -232,18 +207,7 @@
 
     def _probe(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Asks the candidates that have no offer for their backlog."""
-        placement.probed = True
-        placement.ask += 1
-        placement.probe = Probe(
-            ask=placement.ask,
-            until=now + PROBE_TIMEOUT_S,
-            awaited=set(placement.candidates),
-        )
-        query = BacklogQuery(
-            placement=placement.number,
-            ask=placement.ask,
-            service_id=placement.service_id,
-        )
+        query = placement.begin_probe(now=now)
         return [
             Envelope(self.node_id, agent_node(placement.service_id, up), query)
             for up in placement.candidates
@@ -264,26 +228,12 @@
             return []
         return self._next(placement, now=now)
 
-    def _end_probe(self, placement: Placement) -> None:
-        """Takes over the reports that came.
-
-        Candidates that did not report are left out, unless none did.
-        """
-        probe = placement.probe
-        if probe is None:
-            return
-        placement.probe = None
-        placement.excluded |= probe.draining
-        placement.backlogs |= probe.backlogs
-        if probe.backlogs:
-            placement.candidates = []
-
     def _next(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Offers the request to the next candidate, or ends the round."""
         if placement.probe is not None and placement.probe.pending(now=now):
             self._wake_at(placement, placement.probe.until)
             return []
-        self._end_probe(placement)
+        placement.end_probe()
         if placement.candidates and placement.backlogs and not placement.probed:
             self._wake_at(placement, now + PROBE_TIMEOUT_S)
             return self._probe(placement, now=now)
@@ -323,31 +273,27 @@
         now: float,
     ) -> list[Envelope]:
         node_id = agent_node(placement.service_id, upstream_id)
-        placement.upstream_id = upstream_id
-        placement.incarnation = self.members.incarnation(node_id)
-        placement.backlog_limit = backlog_limit
-        placement.silent = 0
-        placement.repeated = self.first_repeat_s <= 0
-        placement.accepted = False
+        placement.begin_offer(
+            upstream_id,
+            incarnation=self.members.incarnation(node_id),
+            backlog_limit=backlog_limit,
+            repeated=self.first_repeat_s <= 0,
+        )
         self.load.started(node_id)
         return self._send_current(placement, now=now)
 
     def _send_current(self, placement: Placement, *, now: float) -> list[Envelope]:
         """Sends the offer, or its cancellation, to the agent that has it."""
         placement.ask += 1
-        wait = ACCEPTED_POLL_S if placement.accepted else OFFER_TIMEOUT_S
-        wait *= 2 ** min(placement.silent, 3)
-        if not placement.accepted and not placement.repeated:
-            wait = self.first_repeat_s
+        wait = placement.reply_wait(first_repeat_s=self.first_repeat_s)
         self._wake_at(placement, now + wait)
         message: Payload
         if placement.cancelling:
             message = placement.cancel_request()
         else:
             message = placement.offer(now=now)
-        receiver = self._node(placement)
-        assert receiver is not None
-        return [Envelope(self.node_id, receiver, message)]
+        assert placement.node_id is not None
+        return [Envelope(self.node_id, placement.node_id, message)]
 
     def _due(self, placement: Placement, *, now: float) -> list[Envelope]:
         if now >= placement.deadline:
@@ -358,13 +304,15 @@
             return self._begin_round(placement, now=now)
         if not placement.repeated and not placement.accepted:
             placement.repeated = True
-            self.load.silent.add(
-                agent_node(placement.service_id, placement.upstream_id)
-            )
+            assert placement.node_id is not None
+            self.load.silent.add(placement.node_id)
             return self._send_current(placement, now=now)
         placement.silent += 1
-        self._note_silence(placement, now=now)
-        if self._lost(placement):
+        assert placement.node_id is not None
+        if self.silent is not None and placement.silent == SILENT_OFFERS:
+            self.silent(placement.node_id, now=now)
+        member = self.members.by_node.get(placement.node_id)
+        if placement.agent_lost(member):
             return self._after_loss(placement, ErrorKind.AGENT_SILENT, now=now)
         counted = self._count(ErrorKind.AGENT_SILENT, "retried")
         return counted + self._send_current(placement, now=now)
@@ -377,28 +325,12 @@
         """
         if placement.upstream_id is None:
             return self._end(placement, ErrorKind.DEADLINE, now=now)
-        node_id = self._node(placement)
-        assert node_id is not None
+        assert placement.node_id is not None
         placement.ask += 1
         cancel = placement.cancel_request()
-        sent = [Envelope(self.node_id, node_id, cancel)]
+        sent = [Envelope(self.node_id, placement.node_id, cancel)]
         return sent + self._end(placement, ErrorKind.AGENT_SILENT, now=now)
 
-    def _note_silence(self, placement: Placement, *, now: float) -> None:
-        node_id = self._node(placement)
-        if self.silent and node_id and placement.silent == SILENT_OFFERS:
-            self.silent(node_id, now=now)
-
-    def _lost(self, placement: Placement) -> bool:
-        """Tells whether waiting for the agent any longer is useless."""
-        node_id = self._node(placement)
-        assert node_id is not None
-        member = self.members.by_node.get(node_id)
-        gone = member is None or member.state is MemberState.STOPPED
-        restarted = member is not None and member.incarnation != placement.incarnation
-        silent = placement.idempotent and placement.silent >= SILENT_OFFERS
-        return gone or restarted or silent
-
     def _after_loss(
         self, placement: Placement, kind: ErrorKind, *, now: float
     ) -> list[Envelope]:
@@ -426,30 +358,23 @@
             return self._end(placement, ErrorKind.CANCELLED, now=now)
         self._leave(placement)
         placement.last_kind = message.kind
-        if message.kind is ErrorKind.MOVED and placement.keyed:
-            placement.moves += 1
-            if placement.moves <= MAX_MOVES and message.home is not None:
-                placement.candidates.insert(0, message.home)
-        elif message.kind in (ErrorKind.DRAINING, ErrorKind.NO_UPSTREAM):
-            placement.excluded.add(upstream_id)
-        elif message.kind is ErrorKind.BUSY:
-            placement.backlogs[upstream_id] = message.backlog
-        elif message.kind is ErrorKind.RELEASED and message.free is not None:
+        placement.learn_from_refusal(message, upstream_id)
+        if message.kind is ErrorKind.RELEASED and message.free is not None:
             placement.backlogs = {upstream_id: message.backlog}
             slots = self.candidates.slots(placement.service_id, message.free)
             limit = message.backlog + 1 / slots
             return self._offer(placement, message.free, limit, now=now)
-        elif message.kind is ErrorKind.DEADLINE:
+        if message.kind is ErrorKind.DEADLINE:
             return self._end(placement, message.kind, now=now)
         return self._next(placement, now=now)
 
     def _note_load(self, placement: Placement, backlog: float, *, now: float) -> None:
-        node_id = self._node(placement)
+        node_id = placement.node_id
         if node_id is not None:
             self.load.report(node_id, backlog, now=now)
 
     def _leave(self, placement: Placement) -> None:
-        node_id = self._node(placement)
+        node_id = placement.node_id
         if node_id is not None:
             self.load.ended(node_id)
             if not placement.accepted:
@@ -472,5 +397,4 @@
         return self.ended(placement, result, now)
 
     def _count(self, kind: ErrorKind, action: str) -> list[Envelope]:
-        count = Count(name=counter_name(kind, action=action))
-        return [Envelope(self.node_id, LOCAL_METRICS, count)]
+        return [count(self.node_id, counter_name(kind, action=action))]
