Let new flows wait at the agent, newest first; ask all agents before probing

Cause: under overload a balancer offered each opening packet to five agents, parked it for 100 ms and offered it again, so whichever packet came when there was room was taken. Found on the way: a lookup let three upstreams try a packet before the flow's holder was asked, which counts as a broken flow when the holder restarts.

Change: an agent keeps opening packets that find no room (Offer.may_wait, Queued) in a queue of 64, the most urgent and newest first, for 0.25 s at most; an upstream gets two requests a slot at once. Balancers ask two agents and then use the shortest queue. Small fleets are asked all at once; while agents are left to ask, at most two upstreams may try a packet. Several open questions suspect an agent once.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -195,8 +195,29 @@
     Mutation(
         "accept_without_limit",
         "agent.py",
-        "self.load(now=now).requests >= BUSY_PER_SLOT:",
-        "False:",
+        "        return load.requests < REQUESTS_PER_SLOT\n",
+        "        return True\n",
+        "direct",
+    ),
+    Mutation(
+        "keep_waiting_flows_while_draining",
+        "agent.py",
+        "        self._check_queue(now=now)\n",
+        "",
+        "direct",
+    ),
+    Mutation(
+        "oldest_waiting_flow_first",
+        "opening_queue.py",
+        "return (self.priority, -self.arrived_at)",
+        "return (self.priority, self.arrived_at)",
+        "direct",
+    ),
+    Mutation(
+        "probe_before_all_were_asked",
+        "lookups.py",
+        "return not lookup.stages or len(lookup.undecided) <= MAX_EARLY_PROBES",
+        "return True",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -6,17 +6,16 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.announcer import Announcer
 from bramleydyke.direct.constants import (
-    BUSY_PER_SLOT,
     COLD_FACTOR,
     FLOW_IDLE_S,
     MAX_PROBES,
+    REQUESTS_PER_SLOT,
     UPSTREAM_SILENT_S,
 )
 from bramleydyke.direct.holders import acknowledges
@@ -24,12 +23,15 @@
     Absent,
     Forward,
     Load,
+    Offer,
     Placed,
+    Queued,
     Refused,
     Returned,
     Seek,
     Unsure,
 )
+from bramleydyke.direct.opening_queue import OpeningQueue, WaitingOpening
 from bramleydyke.direct.ports import (
     Count,
     Deliver,
@@ -74,7 +76,7 @@
     Attributes:
         started_at: Start of this process, in seconds.
         probes: Packets whose flows the upstream may hold from earlier.
-        refused_balancers: Balancers that were refused while it was busy.
+        queue: Opening packets that wait for room at the upstream.
         announcer: Tells balancers of the upstream.
     """
 
@@ -92,7 +94,7 @@
     flows: UpstreamFlows = field(default_factory=UpstreamFlows)
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
     unanswered: Timers[FlowTuple] = field(default_factory=Timers)
-    refused_balancers: OrderedDict[NodeIp, None] = field(default_factory=OrderedDict)
+    queue: OpeningQueue = field(default_factory=OpeningQueue)
     announcer: Announcer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -110,26 +112,26 @@
 
     def message_in(self, sender: NodeIp, message: object, *, now: float) -> None:
         """Takes a message from a balancer."""
-        if isinstance(message, Seek):
-            self.announcer.add_balancer(sender)
-            self._sought(sender, message, now=now)
-            return
-        if not isinstance(message, Forward):
-            self.count(counter_name(ErrorKind.BAD_FRAME))
-            return
-        self.announcer.add_balancer(sender)
-        packet = self.codec.from_caller(message.datagram)
-        if packet is None:
-            self.count(counter_name(ErrorKind.BAD_FRAME))
-        elif packet.opening:
-            self._opening(sender, message, packet, now=now)
-        else:
-            self._established(sender, message, packet, now=now)
-
-    def _opening(
-        self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
+        match message:
+            case Seek():
+                self.announcer.add_balancer(sender)
+                self._sought(sender, message, now=now)
+            case Offer() | Forward():
+                self.announcer.add_balancer(sender)
+                packet = self.codec.from_caller(message.datagram)
+                if packet is None or packet.opening != isinstance(message, Offer):
+                    self.count(counter_name(ErrorKind.BAD_FRAME))
+                elif isinstance(message, Offer):
+                    self._offered(sender, message, packet, now=now)
+                else:
+                    self._established(sender, message, packet, now=now)
+            case _:
+                self.count(counter_name(ErrorKind.BAD_FRAME))
+
+    def _offered(
+        self, sender: NodeIp, message: Offer, packet: Packet, *, now: float
     ) -> None:
-        """Hands over an opening packet, or refuses the flow."""
+        """Hands over an opening packet, keeps it for later or refuses it."""
         key = packet.flow
         flow = self.flows.touch(key, now=now)
         if flow is not None and flow.lifetime == self.view.lifetime:
@@ -138,18 +140,32 @@
                 self._hand_over(packet)
                 self._tell_placed(key, flow, now=now)
                 return
+        opening = WaitingOpening(sender, packet, message.priority, now - message.age_s)
         kind = self._refusal(message.service, now=now)
         if kind is not None:
-            self.count(counter_name(kind))
-            if kind is ErrorKind.BUSY:
-                self.refused_balancers[sender] = None
-            self.send(sender, Refused(key, kind, self.load(now=now)))
-            return
-        flow = UpstreamFlow(sender, self.view.lifetime, now)
-        self.flows.add(key, flow)
+            self._refuse(opening, kind, now=now)
+        elif self._has_room(now=now):
+            self._open(opening, now=now)
+        elif message.may_wait or key in self.queue.waiting:
+            surplus = self.queue.add(opening, now=now)
+            self.send(sender, Queued(key, self.load(now=now)))
+            if surplus is not None:
+                self._refuse(surplus, ErrorKind.BUSY, now=now)
+        else:
+            self._refuse(opening, ErrorKind.BUSY, now=now)
+
+    def _open(self, opening: WaitingOpening, *, now: float) -> None:
+        """Hands an opening packet over as a new flow."""
+        key = opening.packet.flow
+        self.flows.add(key, UpstreamFlow(opening.balancer, self.view.lifetime, now))
         self.flows.requested(key, now=now)
         self.unanswered.set(key, now + UPSTREAM_SILENT_S)
-        self._hand_over(packet)
+        self._hand_over(opening.packet)
+
+    def _refuse(self, opening: WaitingOpening, kind: ErrorKind, *, now: float) -> None:
+        self.count(counter_name(kind))
+        refused = Refused(opening.packet.flow, kind, self.load(now=now))
+        self.send(opening.balancer, refused)
 
     def _refusal(self, service: ServiceId, *, now: float) -> ErrorKind | None:
         """Returns why a new flow may not open at the upstream, if so."""
@@ -157,16 +173,35 @@
             return ErrorKind.WRONG_SERVICE
         if self.announcer.pausing:
             return ErrorKind.DRAINING
-        kind = REFUSALS.get(self.view.state(now=now))
-        if kind is None and self.load(now=now).requests >= BUSY_PER_SLOT:
-            return ErrorKind.BUSY
-        return kind
+        return REFUSALS.get(self.view.state(now=now))
+
+    def _has_room(self, *, now: float) -> bool:
+        """Tells whether the upstream gets another request now."""
+        self.flows.expire_requests(now=now)
+        load = self.flows.load(self.view.slots, factor=self._factor(now=now))
+        return load.requests < REQUESTS_PER_SLOT
+
+    def _serve_queue(self, *, now: float) -> None:
+        """Opens flows that wait, as far as there is room for them."""
+        while self.queue and self._has_room(now=now):
+            self._open(self.queue.pop(), now=now)
+
+    def _check_queue(self, *, now: float) -> None:
+        """Gives the waiting flows back if the upstream takes none any more."""
+        kind = self._refusal(self.service, now=now)
+        if kind is not None:
+            for opening in self.queue.clear():
+                self._refuse(opening, kind, now=now)
 
     def load(self, *, now: float) -> Load:
         """Returns how busy the upstream is."""
         self.flows.expire_requests(now=now)
-        factor = COLD_FACTOR if self.view.cold(now=now) else 1.0
-        return self.flows.load(self.view.slots, factor=factor)
+        factor = self._factor(now=now)
+        return self.flows.load(self.view.slots, factor=factor, waiting=len(self.queue))
+
+    def _factor(self, *, now: float) -> float:
+        """Returns how much slower than usual the upstream is."""
+        return COLD_FACTOR if self.view.cold(now=now) else 1.0
 
     def _established(
         self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
@@ -266,6 +301,7 @@
             self._bounced(packet, now=now)
         else:
             self._answer(packet, now=now)
+        self._serve_queue(now=now)
 
     def _bounced(self, packet: Packet, *, now: float) -> None:
         """Handles a packet that the upstream gave back."""
@@ -309,17 +345,9 @@
         if packet.reset:
             self.flows.end(flow)
         if packet.payload_bytes or packet.finish or packet.reset:
-            self._responded(key, now=now)
+            self.flows.responded(key)
         self.send_to_caller(packet, packet.datagram)
 
-    def _responded(self, key: FlowTuple, *, now: float) -> None:
-        """Tells a refused balancer that there is room."""
-        if not self.flows.responded(key) or not self.refused_balancers:
-            return
-        if self.load(now=now).requests < BUSY_PER_SLOT:
-            balancer, _ = self.refused_balancers.popitem(last=False)
-            self.announcer.announce_to(balancer, now=now)
-
     def _learn(self, key: FlowTuple, packet: Packet, *, now: float) -> UpstreamFlow:
         """Notes a flow that the upstream holds from before this process."""
         probe = self.probes.pop(key, None)
@@ -366,6 +394,7 @@
 
     def announce(self, *, now: float) -> None:
         """Forgets what is over and tells balancers of the upstream."""
+        self._check_queue(now=now)
         self.flows.expire(now=now)
         if len(self.probes) > MAX_PROBES:
             self.probes.clear()
@@ -373,10 +402,12 @@
 
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
-        unanswered = self.unanswered.next()
-        if unanswered is None:
-            return self.announcer.due_at
-        return min(self.announcer.due_at, unanswered)
+        times = (
+            self.unanswered.next(),
+            self.queue.timers.next(),
+            self.announcer.due_at,
+        )
+        return min(time for time in times if time is not None)
 
     def wake(self, *, now: float) -> None:
         """Notes unanswered opening packets; announces the upstream."""
@@ -392,5 +423,8 @@
             self.announce(now=now)
         for key in silent:
             self.flows.remove(key)
+        self._serve_queue(now=now)
+        for opening in self.queue.pop_overdue(now=now):
+            self._refuse(opening, ErrorKind.BUSY, now=now)
         if now >= self.announcer.due_at:
             self.announce(now=now)
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-from bramleydyke.direct.constants import BUSY_PER_SLOT, FRESH_CONFIG_S
+from bramleydyke.direct.constants import FRESH_CONFIG_S, REQUESTS_PER_SLOT
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holders
 from bramleydyke.direct.lookups import Lookups
@@ -15,6 +15,7 @@
     Forward,
     Notice,
     Placed,
+    Queued,
     Refused,
     Relayed,
     Returned,
@@ -98,6 +99,8 @@
                     self._established(packet, now=now)
             case Refused():
                 self.openings.refused(sender, message, now=now)
+            case Queued():
+                self.openings.queued(sender, message, now=now)
             case Returned():
                 self._returned(sender, message, now=now)
             case Absent():
@@ -202,7 +205,7 @@
         heard = source == "agent"
         changed = self.directory.apply(announcement, now=now, heard=heard)
         if announcement.state is UpstreamState.READY and (heard or changed):
-            room = BUSY_PER_SLOT - announcement.load.requests
+            room = REQUESTS_PER_SLOT - announcement.load.requests
             flows = math.ceil(room * announcement.slots)
             self.openings.place_parked(
                 announcement.service, limit=max(0, flows), now=now
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -14,13 +14,26 @@
 MAX_OPENING_RETRY_S = 0.4
 """Limit of that wait where answers take longer, as on a link that is full."""
 
-BUSY_PER_SLOT = 4
-"""Requests for each slot of an upstream above which it takes no new flow.
+REQUESTS_PER_SLOT = 2
+"""Requests for each slot that an upstream gets at once.
 
-With 15 to 30 ms of work a request, the last one waits for about 100 ms, which
-is what callers expect; longer queues only make all of them late.
+The second keeps the slot busy during the round trip from the acceptance of a
+flow to its request. Others wait at the agent, which can still reorder them.
 """
 
+QUEUE_S = 0.25
+"""Longest wait of an opening packet at one agent, within the callers' targets.
+
+The balancer then offers it elsewhere, so that a slow upstream does not hold
+it while others have room.
+"""
+
+MAX_QUEUED = 64
+"""Opening packets that wait at one agent."""
+
+BUSY_ANSWERS = 2
+"""Agents without room that a balancer asks before the packet has to wait."""
+
 OPEN_FLOW_LOAD = 0.1
 """Load of an open flow without a request, relative to one with a request.
 
@@ -54,6 +67,15 @@
 MAX_LOOKUP_AGENTS = 128
 """Agents that are asked at most before a flow is taken for dead."""
 
+SMALL_FLEET = 16
+"""Agents up to which a lookup asks all at once; an answer may cross zones."""
+
+MAX_EARLY_PROBES = 2
+"""Upstreams that may get a packet before all agents were asked about it.
+
+Three packets of a flow at other upstreams count as a broken flow.
+"""
+
 PARK_S = 1.2
 """Time for which an opening packet waits for an upstream.
 
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -9,11 +9,11 @@
 from bramleydyke.core.rendezvous import owner_order
 from bramleydyke.direct.constants import (
     BUSY_DECAY_S,
-    BUSY_PER_SLOT,
     DEAD_AGENT_FAILURES,
     DEAD_AGENT_S,
     ENTRY_EXPIRY_S,
     MAX_SUSPECT_S,
+    REQUESTS_PER_SLOT,
     SUSPECT_S,
 )
 from bramleydyke.direct.messages import Announcement, Load
@@ -34,7 +34,8 @@
             others may not have heard a living one for long.
         suspect_until: No new flow is sent there before this time.
         gone_at: When the upstream was found to be gone, if it is.
-        failures: Times in a row that its agent did not answer.
+        failures: Questions that its agent left open since its last answer.
+        suspicions: Times that it was suspected since then.
     """
 
     announcement: Announcement
@@ -43,6 +44,7 @@
     load_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
+    suspicions: int = 0
     gone_at: float | None = None
 
 
@@ -125,6 +127,7 @@
                 entry.load = load
                 entry.load_at = now
             entry.failures = 0
+            entry.suspicions = 0
             entry.suspect_until = 0.0
 
     def silent(self, node: NodeIp, *, now: float) -> None:
@@ -133,9 +136,11 @@
         if entry is not None:
             if not entry.failures:
                 entry.failing_since = now
-            pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.failures)
             entry.failures += 1
-            entry.suspect_until = now + pause
+            if entry.suspect_until <= now:
+                pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.suspicions)
+                entry.suspicions += 1
+                entry.suspect_until = now + pause
 
     def dead(self, node: NodeIp, *, now: float) -> bool:
         """Tells whether an agent has been silent for longer than a restart."""
@@ -169,16 +174,29 @@
         ]
         suspect = [node for node in ready if self.entries[node].suspect_until > now]
         usable = [node for node in ready if self.entries[node].suspect_until <= now]
-        full = [node for node in usable if self._requests(node, now) >= BUSY_PER_SLOT]
-        free = [node for node in usable if self._requests(node, now) < BUSY_PER_SLOT]
+        free = [node for node in usable if self.has_room(node, now=now)]
+        full = [node for node in usable if not self.has_room(node, now=now)]
+        full.sort(key=lambda node: self._requests(node, now))
         first = sorted(free[:width], key=self._rank)
         return first + free[width:] + full + suspect
 
-    def free(self, candidates: list[NodeIp], *, now: float) -> bool:
-        """Tells whether the first candidate has room, as far as known."""
-        entry = self.entries[candidates[0]]
-        room = self._requests(candidates[0], now) < BUSY_PER_SLOT
-        return room and entry.suspect_until <= now
+    def least_loaded(self, service: ServiceId, *, now: float) -> NodeIp | None:
+        """Returns the upstream with the shortest queue, if one is usable."""
+        usable = [
+            node
+            for node in self.by_service.get(service, ())
+            if self.entries[node].announcement.state is UpstreamState.READY
+            and self.answers(node, now=now)
+        ]
+        return min(usable, key=lambda n: self._requests(n, now), default=None)
+
+    def has_room(self, node: NodeIp, *, now: float) -> bool:
+        """Tells whether an upstream takes another flow, as far as known."""
+        return self._requests(node, now) < REQUESTS_PER_SLOT
+
+    def answers(self, node: NodeIp, *, now: float) -> bool:
+        """Tells whether an agent is not known to be silent or to refuse."""
+        return self.entries[node].suspect_until <= now
 
     def sent(self, node: NodeIp, *, now: float) -> None:
         """Adds a new flow to an upstream's load until its agent tells it."""
--- a/src/bramleydyke/direct/lookups.py
+++ b/src/bramleydyke/direct/lookups.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import chain
-from typing import NamedTuple
 
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.constants import (
@@ -22,7 +21,9 @@
     HELD_PACKETS,
     LOOKUP_HOLD_S,
     LOOKUP_STAGE_S,
+    MAX_EARLY_PROBES,
     MAX_LOOKUP_AGENTS,
+    SMALL_FLEET,
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import Forward, Seek
@@ -34,21 +35,13 @@
 Asked = tuple[NodeIp, ServiceId]
 
 
-class Stage(NamedTuple):
-    """Agents that are asked together."""
-
-    agents: list[Asked]
-    probe: bool = False
-    """True if they may try the packet at their upstreams."""
-
-
 @dataclass(slots=True)
 class Lookup:
     """A flow whose holder is sought.
 
     Attributes:
         packet: The packet that the agents are asked about.
-        stages: Agents to ask, in groups.
+        stages: Agents left to ask, in groups.
         awaited: Agents that have been asked and have not answered.
         undecided: Agents that must try their upstreams to know.
         services: Service of each agent that has been asked.
@@ -58,7 +51,7 @@
     """
 
     packet: Packet
-    stages: list[Stage]
+    stages: list[list[Asked]]
     awaited: set[NodeIp] = field(default_factory=set)
     undecided: list[Asked] = field(default_factory=list)
     services: dict[NodeIp, ServiceId] = field(default_factory=dict)
@@ -176,33 +169,48 @@
             if service not in services
             for node in self.directory.owners(service, flow)
         ]
-        partial = len(likely) + len(rest) + len(elsewhere) > MAX_LOOKUP_AGENTS
-        stages = [likely, rest, [] if partial else elsewhere]
-        return Lookup(packet, [Stage(s) for s in stages if s], partial=partial)
+        total = len(likely) + len(rest) + len(elsewhere)
+        partial = total > MAX_LOOKUP_AGENTS
+        others = rest if partial else rest + elsewhere
+        if total <= SMALL_FLEET:
+            stages = [likely + others]
+        else:
+            stages = [likely, others]
+        return Lookup(packet, [s for s in stages if s], partial=partial)
 
     def _next_stage(self, flow: FlowTuple, lookup: Lookup, *, now: float) -> None:
         """Asks the next agents, or ends the lookup."""
-        if lookup.undecided and not self._unanswered(lookup, now=now):
-            stage = Stage(lookup.undecided, probe=True)
-            lookup.undecided = []
+        probe = self._may_probe(lookup, now=now)
+        if probe:
+            agents, lookup.undecided = lookup.undecided, []
         elif lookup.stages:
-            stage = lookup.stages.pop(0)
+            agents = lookup.stages.pop(0)
         else:
             self._conclude(flow, lookup, now=now)
             return
         more = lookup.stages or lookup.undecided
         self.timers.set(flow, now + (LOOKUP_STAGE_S if more else LOOKUP_HOLD_S))
         packet = lookup.packet
-        lookup.tried = lookup.tried or stage.probe
-        for node, service in stage.agents:
+        lookup.tried = lookup.tried or probe
+        for node, service in agents:
             lookup.awaited.add(node)
             lookup.services[node] = service
-            if stage.probe:
+            if probe:
                 message: object = Forward(service, True, Lifetime(0), packet.datagram)
             else:
                 message = Seek(flow, service, packet.acknowledged)
             self.send(node, message)
 
+    def _may_probe(self, lookup: Lookup, *, now: float) -> bool:
+        """Tells whether the undecided agents may try the packet now.
+
+        While agents are left to ask, only a few may: their upstreams would
+        get packets of a flow whose holder was not even asked.
+        """
+        if not lookup.undecided or self._unanswered(lookup, now=now):
+            return False
+        return not lookup.stages or len(lookup.undecided) <= MAX_EARLY_PROBES
+
     def _unanswered(self, lookup: Lookup, *, now: float) -> list[NodeIp]:
         """Returns the agents that did not answer and may still run."""
         return [n for n in lookup.awaited if not self.directory.dead(n, now=now)]
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -22,7 +22,7 @@
 
 
 class Forward(Message, tag=1):
-    """Balancer to agent: a caller's packet."""
+    """Balancer to agent: a caller's packet, but for opening packets."""
 
     service: ServiceId
     probe: bool
@@ -34,11 +34,27 @@
     datagram: bytes
 
 
+class Offer(Message, tag=11):
+    """Balancer to agent: a caller's opening packet."""
+
+    service: ServiceId
+    priority: int
+    """Priority of its route; 0 is the most urgent."""
+
+    age_s: float
+    """Time since the balancer received it."""
+
+    may_wait: bool
+    """True if the agent may keep it until its upstream has room."""
+
+    datagram: bytes
+
+
 class Load(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """How busy an upstream is, for each of its slots."""
 
     requests: float = 0.0
-    """Requests that have no response yet."""
+    """Requests that have no response yet, with those that wait to open."""
 
     total: float = 0.0
     """The same, with a small part for each open flow."""
@@ -72,6 +88,13 @@
     load: Load
 
 
+class Queued(Message, tag=12):
+    """Agent to balancer: an opening packet waits for room at the upstream."""
+
+    flow: FlowTuple
+    load: Load
+
+
 class Returned(Message, tag=4):
     """Agent to balancer: a packet whose flow the upstream does not hold."""
 
@@ -130,8 +153,10 @@
 
 MeshMessage = (
     Forward
+    | Offer
     | Seek
     | Placed
+    | Queued
     | Refused
     | Returned
     | Absent
--- /dev/null
+++ b/src/bramleydyke/direct/opening_queue.py
@@ -0,0 +1,72 @@
+"""Opening packets that wait at an agent until its upstream has room.
+
+The most urgent packets leave first and, of those, the newest: it can still be
+served in time, while the oldest are late in any case. Under overload this
+serves about as many callers in time as the upstream has capacity for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bramleydyke.core.timers import Timers
+from bramleydyke.direct.constants import MAX_QUEUED, QUEUE_S
+from bramleydyke.direct.types import FlowTuple, NodeIp, Packet
+
+
+@dataclass(slots=True)
+class WaitingOpening:
+    """An opening packet in the queue.
+
+    Attributes:
+        balancer: The balancer that offered it.
+        priority: Priority of its route; 0 is the most urgent.
+        arrived_at: When the balancer received it, in seconds.
+    """
+
+    balancer: NodeIp
+    packet: Packet
+    priority: int
+    arrived_at: float
+
+    def rank(self) -> tuple[int, float]:
+        """Returns a key that is smallest for the first one to leave."""
+        return (self.priority, -self.arrived_at)
+
+
+@dataclass(slots=True)
+class OpeningQueue:
+    """Waiting opening packets by flow, a bounded number of them."""
+
+    waiting: dict[FlowTuple, WaitingOpening] = field(default_factory=dict)
+    timers: Timers[FlowTuple] = field(default_factory=Timers)
+
+    def __len__(self) -> int:
+        return len(self.waiting)
+
+    def add(self, opening: WaitingOpening, *, now: float) -> WaitingOpening | None:
+        """Adds a packet; returns one that has to leave for it, if any."""
+        flow = opening.packet.flow
+        self.waiting[flow] = opening
+        self.timers.set(flow, now + QUEUE_S)
+        if len(self.waiting) <= MAX_QUEUED:
+            return None
+        return self._take(max(self.waiting.values(), key=WaitingOpening.rank))
+
+    def pop(self) -> WaitingOpening:
+        """Removes and returns the packet to serve first."""
+        return self._take(min(self.waiting.values(), key=WaitingOpening.rank))
+
+    def pop_overdue(self, *, now: float) -> list[WaitingOpening]:
+        """Removes and returns the packets that have waited for too long."""
+        return [self.waiting.pop(flow) for flow in self.timers.pop_due(now)]
+
+    def clear(self) -> list[WaitingOpening]:
+        """Removes and returns all packets."""
+        return [self._take(opening) for opening in list(self.waiting.values())]
+
+    def _take(self, opening: WaitingOpening) -> WaitingOpening:
+        flow = opening.packet.flow
+        del self.waiting[flow]
+        self.timers.cancel(flow)
+        return opening
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -6,19 +6,21 @@
 
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.constants import (
+    BUSY_ANSWERS,
     CANDIDATES,
     MAX_OPENING_TRIES,
     MAX_PARKED,
     PARK_RETRY_S,
     PARK_S,
+    QUEUE_S,
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holder, Holders
-from bramleydyke.direct.messages import Forward, Placed, Refused
+from bramleydyke.direct.messages import Offer, Placed, Queued, Refused
 from bramleydyke.direct.ports import Count, Observe, Record, Send, SendToCaller
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.routes import Route, pick_service
-from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
+from bramleydyke.direct.types import FlowTuple, NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import ServiceId
 
@@ -35,8 +37,10 @@
         priority: Priority of its route; 0 is the most urgent.
         until: End of its wait for an upstream, in seconds.
         arrived_at: When its packet arrived, in seconds.
-        asked_at: When the last of them was asked, in seconds.
-        asked: Number of them that have been asked.
+        asked: Agents that have been asked, the last one at the end.
+        asked_at: When the last of them was asked, in seconds; None once it has
+            answered.
+        busy: Number of answers that an upstream has no room.
     """
 
     packet: Packet
@@ -45,8 +49,9 @@
     until: float
     priority: int
     arrived_at: float
-    asked: int = 0
-    asked_at: float = 0.0
+    asked: list[NodeIp] = field(default_factory=list)
+    asked_at: float | None = None
+    busy: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -76,7 +81,9 @@
             return
         holder = self.holders.accepted_by(flow) if packet.copies else None
         if holder is not None and not self._lost(holder, now=now):
-            self.send(holder.node, self._forward(packet, route, flow))
+            service = pick_service(route.shares, flow) or ServiceId("")
+            offer = Offer(service, route.priority, 0.0, True, packet.datagram)
+            self.send(holder.node, offer)
             return
         if not packet.copies:
             self.holders.forget(flow)
@@ -103,13 +110,16 @@
             opening.service, flow, width=CANDIDATES, now=now
         )
         candidates.sort(key=lambda node: node == avoid)
-        # Agents that are full or silent are worth one question only.
+        # Agents that are silent are worth one question only.
         again = bool(opening.candidates)
-        if not candidates or (again and not self.directory.free(candidates, now=now)):
+        if not candidates or (
+            again and not self.directory.answers(candidates[0], now=now)
+        ):
             self._park(opening, now=now)
             return
         opening.candidates = candidates
-        opening.asked = 0
+        opening.asked = []
+        opening.busy = 0
         self.waiting[flow] = opening
         self._ask_next(flow, now=now)
 
@@ -124,7 +134,7 @@
                 "flow_placed",
                 flow=message.flow,
                 agent=node,
-                asked=opening.asked,
+                asked=len(opening.asked),
                 requests=round(message.load.requests, 2),
                 lifetime=message.lifetime,
             )
@@ -140,11 +150,29 @@
             self.directory.refused(node, now=now)
         self.holders.forget(message.flow, node)
         opening = self.waiting.get(message.flow)
-        if opening is None:
+        if opening is None or opening.asked[-1] != node:
             return
         self._answered(opening, now=now)
-        if opening.candidates[opening.asked - 1] == node:
-            self._ask_next(message.flow, now=now)
+        if message.kind in FULL:
+            opening.busy += 1
+        self._ask_next(message.flow, now=now)
+
+    def queued(self, node: NodeIp, message: Queued, *, now: float) -> None:
+        """Notes that an agent keeps an opening packet until there is room."""
+        self.directory.answered(node, now=now, load=message.load)
+        opening = self.waiting.get(message.flow)
+        if opening is None or opening.asked[-1] != node:
+            return
+        self._answered(opening, now=now)
+        self.count("queued")
+        self.record(
+            "flow_queued",
+            flow=message.flow,
+            agent=node,
+            asked=len(opening.asked),
+            requests=round(message.load.requests, 2),
+        )
+        self.timers.set(message.flow, now + QUEUE_S + self.round_trip.timeout_s())
 
     def place_parked(self, service: ServiceId, *, limit: int, now: float) -> None:
         """Places opening packets that wait for a service's upstreams.
@@ -170,32 +198,52 @@
             if opening is None:
                 self._unpark(flow, now=now)
                 continue
-            node = opening.candidates[opening.asked - 1]
+            node = opening.asked[-1]
             self.directory.silent(node, now=now)
             self.round_trip.missed()
             self.count(counter_name(ErrorKind.AGENT_SILENT, action="retried"))
-            self.record("opening_retried", flow=flow, agent=node, asked=opening.asked)
+            asked = len(opening.asked)
+            self.record("opening_retried", flow=flow, agent=node, asked=asked)
             self._ask_next(flow, now=now)
 
     def _ask_next(self, flow: FlowTuple, *, now: float) -> None:
+        """Offers the packet to the next agent, or parks it."""
         opening = self.waiting[flow]
-        if opening.asked >= min(len(opening.candidates), MAX_OPENING_TRIES):
+        node = self._next_agent(opening, now=now)
+        if node is None:
             del self.waiting[flow]
             self.timers.cancel(flow)
             self._park(opening, now=now)
             return
-        node = opening.candidates[opening.asked]
-        opening.asked += 1
+        may_wait = opening.busy >= BUSY_ANSWERS or not self.directory.has_room(
+            node, now=now
+        )
+        opening.asked.append(node)
         opening.asked_at = now
         self.directory.sent(node, now=now)
         self.timers.set(flow, now + self.round_trip.timeout_s())
-        forward = Forward(opening.service, False, Lifetime(0), opening.packet.datagram)
-        self.send(node, forward)
+        age_s = now - opening.arrived_at
+        datagram = opening.packet.datagram
+        offer = Offer(opening.service, opening.priority, age_s, may_wait, datagram)
+        self.send(node, offer)
+
+    def _next_agent(self, opening: Opening, *, now: float) -> NodeIp | None:
+        """Returns the agent to ask next; None if none is left.
+
+        Once some have no room, the packet waits at the shortest queue.
+        """
+        if len(opening.asked) >= MAX_OPENING_TRIES or now >= opening.until:
+            return None
+        if opening.busy >= BUSY_ANSWERS:
+            return self.directory.least_loaded(opening.service, now=now)
+        left = (node for node in opening.candidates if node not in opening.asked)
+        return next(left, None)
 
     def _answered(self, opening: Opening, *, now: float) -> None:
         """Measures the round trip, unless the answer may be to another ask."""
-        if opening.asked == 1:
+        if opening.asked_at is not None and len(opening.asked) == 1:
             self.round_trip.observe(now - opening.asked_at)
+        opening.asked_at = None
 
     def _park(self, opening: Opening, *, now: float) -> None:
         """Keeps an opening packet until an upstream is ready, for some time.
@@ -222,10 +270,6 @@
         entry = self.directory.entries.get(holder.node)
         return entry is None or entry.suspect_until > now
 
-    def _forward(self, packet: Packet, route: Route, flow: FlowTuple) -> Forward:
-        service = pick_service(route.shares, flow) or ServiceId("")
-        return Forward(service, False, Lifetime(0), packet.datagram)
-
     def _refuse(
         self, packet: Packet, kind: ErrorKind, *, service: ServiceId | None
     ) -> None:
--- a/src/bramleydyke/direct/upstream_flows.py
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -100,18 +100,19 @@
         """Notes that a flow has a request, or is about to have one."""
         self.requests.setdefault(key, now)
 
-    def responded(self, key: FlowTuple) -> bool:
-        """Notes a response; returns True if a request was waiting for it."""
-        return self.requests.pop(key, None) is not None
+    def responded(self, key: FlowTuple) -> None:
+        """Notes a response, or the end of a flow that waited for one."""
+        self.requests.pop(key, None)
 
-    def load(self, slots: int, *, factor: float = 1.0) -> Load:
+    def load(self, slots: int, *, factor: float = 1.0, waiting: int = 0) -> Load:
         """Returns the load for each slot.
 
         Args:
             slots: Requests that the upstream works on at once.
             factor: How much slower than usual it is.
+            waiting: Flows that wait to open.
         """
-        requests = len(self.requests) * factor / slots
+        requests = (len(self.requests) + waiting) * factor / slots
         idle = max(0, self.unfinished - len(self.requests))
         return Load(requests, requests + idle * OPEN_FLOW_LOAD * factor / slots)
 
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -12,9 +12,10 @@
 import itertools
 import random
 import zlib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from codec import TestCodec, flow_tuple, pack, unpack
@@ -67,6 +68,12 @@
     sequence: int = 0
     pending: dict[FlowTuple, int] = field(default_factory=dict)
     open: set[FlowTuple] = field(default_factory=set)
+    slots: int = 1
+    work_s: float = 0.0
+    """Time that each request takes in one of the slots; 0 answers at once."""
+
+    working: int = 0
+    waiting: deque[tuple[FlowTuple, bytes]] = field(default_factory=deque)
     ran: Counter[FlowTuple] = field(default_factory=Counter)
     foreign: Counter[FlowTuple] = field(default_factory=Counter)
     opened_at: list[tuple[float, FlowTuple]] = field(default_factory=list)
@@ -87,11 +94,28 @@
             self.open.add(flow)
             if wire.payload:
                 self.ran[flow] += 1
-                self.out(flow=flow, payload=wire.payload)
+                self.waiting.append((flow, wire.payload))
+                self.work()
         else:
             self.foreign[flow] += 1
             self.back(datagram)
 
+    def work(self) -> None:
+        """Starts requests in order of arrival as slots are free."""
+        while self.waiting and self.working < self.slots:
+            flow, payload = self.waiting.popleft()
+            self.working += 1
+            if self.work_s:
+                self.network.later(self.work_s, partial(self.worked, flow, payload))
+            else:
+                self.worked(flow, payload)
+
+    def worked(self, flow: FlowTuple, payload: bytes) -> None:
+        self.working -= 1
+        if self.alive:
+            self.out(flow=flow, payload=payload)
+            self.work()
+
     def back(self, datagram: bytes) -> None:
         self.out(**{**unpack_dict(datagram), "bounced": True})
 
@@ -108,6 +132,7 @@
             lifetime=Lifetime(self.born),
             sequence=self.sequence,
             draining=self.draining,
+            slots=self.slots,
         )
 
 
@@ -124,11 +149,16 @@
     flow: FlowTuple
     first_sequence: int | None = None
     answers: set[bytes] = field(default_factory=set)
+    opened_at: float = 0.0
+    answered_at: float | None = None
+    """Time of the first answer."""
+
     sent: int = 0
     ended: str = ""
     gave_up: bool = False
 
     def open(self) -> None:
+        self.opened_at = self.network.now
         for copies, after in enumerate(SYN_COPIES_S):
             self.network.later(after, lambda copies=copies: self.syn(copies))
         self.network.later(GIVE_UP_S, self.check_open)
@@ -173,6 +203,8 @@
                 self.request()
         elif wire.payload:
             self.answers.add(wire.payload)
+            if self.answered_at is None:
+                self.answered_at = self.network.now
 
 
 class Network:
--- a/tests/direct/test_drain.py
+++ b/tests/direct/test_drain.py
@@ -4,13 +4,21 @@
 
 import itertools
 
+import msgspec
 import pytest
 from codec import flow_tuple, pack
 from network import OTHER, SERVICE, system
 
-from bramleydyke.direct.constants import FLOW_IDLE_S
-from bramleydyke.direct.messages import Announcement, Forward, Placed, Refused
+from bramleydyke.direct.constants import (
+    FLOW_IDLE_S,
+    MAX_QUEUED,
+    QUEUE_S,
+    REQUESTS_PER_SLOT,
+    SUSPECT_S,
+)
+from bramleydyke.direct.messages import Offer, Placed, Queued, Refused
 from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
+from bramleydyke.direct.upstream_flows import UpstreamFlow
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.errors import ErrorKind
 from bramleydyke.types import ServiceId, UpstreamId
@@ -103,9 +111,19 @@
     return network, agent, sent
 
 
-def opening(service: ServiceId = SERVICE, number: int = 900) -> Forward:
+def opening(
+    service: ServiceId = SERVICE, number: int = 900, *, may_wait: bool = False
+) -> Offer:
     datagram = pack(flow=flow_tuple(number), opening=True)
-    return Forward(service, False, Lifetime(0), datagram)
+    return Offer(service, 0, 0.0, may_wait, datagram)
+
+
+def fill(network, agent) -> None:
+    """Gives the agent's upstream all requests that it takes at once."""
+    for number in range(REQUESTS_PER_SLOT):
+        flow = UpstreamFlow(None, agent.view.lifetime, network.now, open=True)
+        agent.flows.add(flow_tuple(number), flow)
+        agent.flows.requested(flow_tuple(number), now=network.now)
 
 
 def refusals(sent) -> list[ErrorKind]:
@@ -201,22 +219,86 @@
     assert caller.ended == "reset"
 
 
-def test_a_full_upstream_refuses_and_tells_when_it_has_room():
+def test_a_full_upstream_refuses_flows_that_may_not_wait():
     network, agent, sent = network_with_agent()
     network.upstreams[agent.node].alive = False
-    for number in range(5):
+    for number in range(REQUESTS_PER_SLOT + 1):
         agent.message_in(NodeIp("10.0.1.0"), opening(number=number), now=network.now)
     assert refusals(sent) == [ErrorKind.BUSY]
+
+
+def test_a_waiting_flow_opens_as_soon_as_there_is_room():
+    network, agent, sent = network_with_agent()
+    fill(network, agent)
+    waits = opening(number=50, may_wait=True)
+    agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
+    assert [type(message) for message in sent[-1:]] == [Queued]
+    assert sent[-1].load.requests == REQUESTS_PER_SLOT + 1
     answer = pack(flow=flow_tuple(0), payload=b"x")
     agent.upstream_packet(answer, now=network.now)
-    told = [message for message in sent if isinstance(message, Announcement)]
-    assert told[-1].load.requests == 3
+    assert flow_tuple(50) in agent.flows.flows
+    assert refusals(sent) == []
+
+
+def test_the_most_urgent_and_newest_waiting_flow_opens_first():
+    network, agent, _ = network_with_agent()
+    fill(network, agent)
+    for number, priority, age_s in ((50, 1, 0.0), (51, 0, 0.2), (52, 0, 0.1)):
+        waits = opening(number=number, may_wait=True)
+        waits = msgspec.structs.replace(waits, priority=priority, age_s=age_s)
+        agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
+    opened = [flow_tuple(0)]
+    for _ in range(3):
+        before = set(agent.flows.requests)
+        answer = pack(flow=opened[-1], payload=b"x")
+        agent.upstream_packet(answer, now=network.now)
+        opened += set(agent.flows.requests) - before
+    assert opened[1:] == [flow_tuple(52), flow_tuple(51), flow_tuple(50)]
+
+
+def test_a_flow_that_waits_too_long_goes_back_to_its_balancer():
+    network, agent, sent = network_with_agent()
+    fill(network, agent)
+    waits = opening(number=50, may_wait=True)
+    agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
+    agent.wake(now=network.now + QUEUE_S)
+    assert refusals(sent) == [ErrorKind.BUSY]
+    assert not agent.queue
+
+
+def test_the_oldest_of_too_many_waiting_flows_goes_back():
+    network, agent, sent = network_with_agent()
+    fill(network, agent)
+    for number in range(MAX_QUEUED + 1):
+        waits = opening(number=100 + number, may_wait=True)
+        waits = msgspec.structs.replace(waits, age_s=0.2 if number == 7 else 0.0)
+        agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
+    refused = [message.flow for message in sent if isinstance(message, Refused)]
+    assert refused == [flow_tuple(107)]
+    assert len(agent.queue) == MAX_QUEUED
+
+
+@pytest.mark.parametrize("how", ["drains", "leaves", "pauses"])
+def test_waiting_flows_go_back_when_the_upstream_takes_no_more(how):
+    network, agent, sent = network_with_agent()
+    upstream = network.upstreams[agent.node]
+    fill(network, agent)
+    waits = opening(number=50, may_wait=True)
+    agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
+    if how == "drains":
+        upstream.draining = True
+        agent.report(upstream.report(), now=network.now)
+    elif how == "leaves":
+        agent.left(upstream.report().upstream, now=network.now)
+    else:
+        agent.pause(now=network.now)
+    assert refusals(sent) == [ErrorKind.DRAINING]
+    assert not agent.queue
 
 
 def test_requests_that_never_end_do_not_block_an_upstream_for_ever():
     network, agent, sent = network_with_agent()
-    for number in range(4):
-        agent.flows.requested(flow_tuple(number), now=network.now)
+    fill(network, agent)
     agent.message_in(NodeIp("10.0.1.0"), opening(), now=network.now)
     assert refusals(sent) == [ErrorKind.BUSY]
     later = network.now + 4.0
@@ -225,6 +307,14 @@
     assert refusals(sent) == [ErrorKind.BUSY]
 
 
+def test_several_open_questions_suspect_an_agent_only_once():
+    network, agent, _ = network_with_agent()
+    directory = next(iter(network.balancers.values())).directory
+    for _ in range(10):
+        directory.silent(agent.node, now=network.now)
+    assert directory.answers(agent.node, now=network.now + SUSPECT_S)
+
+
 def test_idle_flows_are_forgotten():
     network, agent, _ = network_with_agent()
     agent.message_in(NodeIp("10.0.1.0"), opening(), now=network.now)
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -6,13 +6,13 @@
 
 import pytest
 from codec import flow_tuple, pack
-from network import OTHER, REPORT_S, ROUTE, Network, routes, system
+from network import OTHER, REPORT_S, ROUTE, SERVICE, Network, routes, system
 
 from bramleydyke.direct.constants import (
-    BUSY_PER_SLOT,
     DEAD_AGENT_S,
     MAX_OPENING_RETRY_S,
     OPENING_RETRY_S,
+    REQUESTS_PER_SLOT,
 )
 from bramleydyke.direct.messages import encode
 from bramleydyke.direct.round_trip import RoundTrip
@@ -210,6 +210,33 @@
     assert not callers[0].ended
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_upstreams_of_the_first_three_agents_get_no_packet_before_the_others(seed):
+    """All agents had restarted, and the holder was not among the first three.
+
+    Their upstreams got the packet before the holder was asked; it was just
+    restarting, so the flow counted as broken.
+    """
+    network = system(seed, balancers=1, upstreams=20)
+    callers = opened(network, 60)
+    for node in list(network.agents):
+        network.start_agent(node)
+    balancer = network.balancers[NodeIp("10.0.1.0")]
+    late = [
+        caller
+        for caller in callers
+        if network.holder(caller).node
+        not in balancer.directory.owners(SERVICE, caller.flow)[:3]
+    ]
+    caller = late[0]
+    network.cut.add(network.holder(caller).node)
+    balancer.holders.forget(caller.flow)
+    caller.request()
+    network.run(2.0)
+    flow = caller.flow
+    assert sum(u.foreign[flow] for u in network.upstreams.values()) < 3
+
+
 def test_new_flows_avoid_an_agent_that_is_cut_off():
     network = system(1)
     network.cut.add(NodeIp("10.0.2.0"))
@@ -230,7 +257,7 @@
     network = Network(3)
     network.add_balancer("10.0.1.0")
     network.balancers[NodeIp("10.0.1.0")].directory.complete = False
-    callers = [network.open_flow() for _ in range(BUSY_PER_SLOT)]
+    callers = [network.open_flow() for _ in range(REQUESTS_PER_SLOT)]
     network.run(0.5)
     network.add_upstream("10.0.2.0")
     network.run(0.05)
