Open the sockets before the modules are loaded; announce from the stored entry

Cause: a process needs about 0.45 s from its start until it reads packets, most of it for imports (twisted 0.27 of 0.36 s of processor time on this machine). Packets of that time were lost, and callers repeat them only 0.2, 0.4 and 0.8 s later. A restarted agent that took flows from its stored entry told nobody, so balancers that had found it silent left it out until the upstream's next report.

A balancer reads callers' packets once routes and upstreams are known, or after 1.2 s. An agent announces its upstream when the entry is recalled; the entry holds the slots. An entry of another service is not recalled, and an upstream that was recalled can leave. Flows that are not open count as requests for 60 ms.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -199,6 +199,13 @@
         "        return True\n",
         "direct",
     ),
+    Mutation(
+        "stay_silent_after_a_restart",
+        "agent.py",
+        "        if self.view.report is None:\n            self.announce(now=now)\n",
+        "",
+        "direct",
+    ),
     Mutation(
         "keep_waiting_flows_while_draining",
         "agent.py",
@@ -237,15 +244,15 @@
     Mutation(
         "try_all_upstreams_at_once",
         "lookups.py",
-        "stage = lookup.stages.pop(0)",
-        "stage = lookup.stages.pop(0)._replace(probe=True)",
+        "            if probe:\n                message",
+        "            if True:\n                message",
         "direct",
     ),
     Mutation(
         "ask_only_the_services_agents",
         "lookups.py",
-        "[] if partial else elsewhere",
-        "[]",
+        "others = rest if partial else rest + elsewhere",
+        "others = rest",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/adapters/http_server.py
+++ b/src/bramleydyke/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -154,10 +155,27 @@
             connection.transport.abortConnection()
 
 
-def listen_http(reactor: Any, endpoint: str, handler: Handler) -> HttpListener:
-    """Listens for HTTP requests at ``ip:port``."""
+def listen_http(
+    reactor: Any,
+    endpoint: str,
+    handler: Handler,
+    *,
+    early: socket.socket | None = None,
+) -> HttpListener:
+    """Listens for HTTP requests at ``ip:port``.
+
+    Args:
+        reactor: Twisted's reactor.
+        endpoint: Where to listen.
+        handler: Answers the requests.
+        early: A socket that listens there already, if there is one.
+    """
+    factory = _HttpFactory(handler)
+    if early is not None:
+        port = reactor.adoptStreamPort(early.fileno(), socket.AF_INET, factory)
+        early.close()
+        return HttpListener(port, factory.connections)
     address = parse_endpoint(endpoint)
     assert address is not None, endpoint
-    factory = _HttpFactory(handler)
     port = reactor.listenTCP(address[1], factory, interface=address[0])
     return HttpListener(port, factory.connections)
--- a/src/bramleydyke/adapters/raw_datagrams.py
+++ b/src/bramleydyke/adapters/raw_datagrams.py
@@ -6,13 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from bramleydyke.endpoints import parse_endpoint
+from bramleydyke.adapters.early_sockets import bound_socket
 
 RECEIVE_BYTES = 65_536
 
-RECEIVE_BUFFER_BYTES = 1 << 20
-"""Buffer for datagrams that wait while this process is not scheduled."""
-
 MAX_BATCH = 64
 """Datagrams that are read before timers and other sockets get a turn."""
 
@@ -21,10 +18,10 @@
 
 
 class RawDatagrams:
-    """A non-blocking UDP socket that the reactor reads.
+    """A non-blocking UDP socket that the reactor reads once it is started.
 
     Attributes:
-        address: IP number and port of the socket.
+        socket: The socket; datagrams that arrive before the start wait there.
         after_batch: Called after each group of datagrams.
     """
 
@@ -36,21 +33,20 @@
         receive: Receive,
         count: Callable[[str], None],
         after_batch: Callable[[], None],
+        early: socket.socket | None = None,
     ) -> None:
-        address = parse_endpoint(endpoint)
-        assert address is not None, endpoint
         self.reactor = reactor
-        self.address = address
         self.receive = receive
         self.count = count
         self.after_batch = after_batch
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setblocking(False)
-        self.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        self.socket.bind(address)
-        reactor.addReader(self)
+        self.socket = early or bound_socket(socket.SOCK_DGRAM, endpoint)
+        self.reading = False
+
+    def start(self) -> None:
+        """Starts to read."""
+        if not self.reading and self.socket.fileno() >= 0:
+            self.reading = True
+            self.reactor.addReader(self)
 
     def send(self, datagram: bytes, ip: str, port: int) -> None:
         """Sends a datagram; it is lost if the buffer is full."""
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -12,6 +13,7 @@
 import msgspec
 
 from bramleydyke.adapters.clock import MonotonicClock
+from bramleydyke.adapters.early_sockets import EarlySockets
 from bramleydyke.adapters.event_log import EventLog, LineWriter
 from bramleydyke.adapters.http_server import (
     Handler,
@@ -63,6 +65,7 @@
         settings: Settings in force.
         counts: Value of each counter since the start.
         metrics: The same, with gauges and latencies, as a page.
+        early: Sockets that were opened before this program was loaded.
         role: Set by the program before ``start``.
     """
 
@@ -75,8 +78,10 @@
         path: Path,
         *,
         log_descriptor: int = STDOUT,
+        early: EarlySockets | None = None,
     ) -> None:
         self.reactor = reactor
+        self.early = {} if early is None else early
         self.settings = settings
         self.path = path
         self.clock = MonotonicClock(reactor)
@@ -122,13 +127,14 @@
     def datagrams(
         self, endpoint: str, receive: Callable[[bytes, str], None]
     ) -> RawDatagrams:
-        """Opens a UDP socket whose datagrams go to a function."""
+        """Opens a UDP socket whose datagrams go to a function once started."""
         opened = RawDatagrams(
             reactor=self.reactor,
             endpoint=endpoint,
             receive=self.guarded(receive),
             count=self.count,
             after_batch=self.arm,
+            early=self.early.pop((socket.SOCK_DGRAM, endpoint), None),
         )
         self.sockets.append(opened)
         return opened
@@ -156,7 +162,9 @@
             self.arm()
             return reply
 
-        self.servers.append(listen_http(self.reactor, endpoint, guard))
+        early = self.early.pop((socket.SOCK_STREAM, endpoint), None)
+        listener = listen_http(self.reactor, endpoint, guard, early=early)
+        self.servers.append(listener)
 
     def start(self) -> None:
         """Starts the role's timers, the metrics page and the signals."""
@@ -164,6 +172,7 @@
         if settings.metrics_port:
             endpoint = f"{settings.ip}:{settings.metrics_port}"
             self.listen(endpoint, self.metrics_page)
+        self.mesh.start()
         self.log.record(
             "started", role=settings.role.value, ip=settings.ip, seed=self.seed
         )
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -79,6 +79,7 @@
         """Starts to serve."""
         for seed in self.settings.seed_endpoints:
             self.role.announcer.add_balancer(NodeIp(host_of(seed)))
+        self.egress.start()
         self.entry.start()
         self._list_balancers(stale=False)
         super().start()
@@ -181,16 +182,17 @@
 
     def _recalled(self, stored: StoredObject) -> None:
         """Takes the entry that an earlier process of this VM left."""
-        if isinstance(stored.value, UpstreamEntry):
-            self.log.record(
-                "entry_recalled",
-                upstream=stored.value.upstream,
-                state=stored.value.state.value,
-                lifetime=stored.value.lifetime,
-                sequence=stored.value.sequence,
-            )
-            entry = stored.value
-            self.role.view.recall(entry.lifetime, entry.sequence, entry.state)
+        entry = stored.value
+        if not isinstance(entry, UpstreamEntry) or entry.service != self.role.service:
+            return
+        self.log.record(
+            "entry_recalled",
+            upstream=entry.upstream,
+            state=entry.state.value,
+            lifetime=entry.lifetime,
+            sequence=entry.sequence,
+        )
+        self.role.recall(entry.report(), now=self.clock.seconds())
 
     def _list_balancers(self, *, stale: bool = True) -> None:
         """Reads the balancers; those that send packets are known without."""
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -26,6 +26,12 @@
 from bramleydyke.endpoints import host_of, port_of
 from bramleydyke.types import AvailabilityZone
 
+FIRST_PACKETS_S = 1.2
+"""Longest wait for the store before packets are taken.
+
+Callers give up on a flow after 1.4 s.
+"""
+
 UNKNOWN_AGE_S = 1e9
 """Age that stands for a configuration that was never confirmed."""
 
@@ -99,6 +105,7 @@
             spread=spread,
             count=self.count,
             record=self.log.record,
+            learned=self._learned,
         )
         self.entry = EntryWriter(
             kind=Kind.BALANCERS,
@@ -121,6 +128,16 @@
         self.entry.want(BalancerEntry(self.role.node, self.role.directory.zone))
         super().start()
         self.role.spread.changed(now=now)
+        self.clock.callLater(FIRST_PACKETS_S, self.packets.start)
+
+    def _learned(self) -> None:
+        """Takes packets once routes and upstreams are known.
+
+        Those that arrived before have waited in the socket's buffer.
+        """
+        upstreams_known = self.role.directory.complete or not self.empty
+        if self.role.routes.current is not None and upstreams_known:
+            self.packets.start()
 
     def ready(self) -> bool:
         """Tells whether this balancer can serve callers."""
@@ -196,6 +213,7 @@
         self.empty = self.empty and not snapshot.upstreams
         for announcement in snapshot.upstreams:
             self.role.announced(announcement, now=now, source=node)
+        self._learned()
         self.arm()
 
     def _snapshot_page(self, method: str, target: str, body: bytes) -> HttpReply:
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -380,6 +380,16 @@
             self.count("late.reports")
         return True
 
+    def recall(self, report: Report, *, now: float) -> None:
+        """Takes a report that an earlier process of this VM stored.
+
+        Balancers that had no answer meanwhile hear at once that the agent
+        is back.
+        """
+        self.view.recall(report)
+        if self.view.report is None:
+            self.announce(now=now)
+
     def left(self, upstream: UpstreamId, *, now: float) -> None:
         """Takes an upstream's word that it is gone."""
         if self.view.left(upstream):
--- a/src/bramleydyke/direct/announcer.py
+++ b/src/bramleydyke/direct/announcer.py
@@ -48,9 +48,9 @@
         return True
 
     def announcement(self, *, now: float) -> Announcement | None:
-        """Returns the upstream's state, or None before its first report."""
+        """Returns the upstream's state, or None while nothing is known."""
         state = self.view.state(now=now)
-        report = self.view.report
+        report = self.view.newest
         if state is None or report is None:
             return None
         if self.pausing and state is not UpstreamState.GONE:
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -49,10 +49,11 @@
 BUSY_LIMIT_S = 3.0
 """Time after which a request without a response is no longer counted."""
 
-OPENING_LIMIT_S = 0.3
+OPENING_LIMIT_S = 0.06
 """Time for which a flow that is not open yet counts as a request.
 
-Callers that still want it answer the upstream within a round trip.
+Four times the round trip between a caller and an upstream of another zone.
+Callers that have given up, or opened the flow elsewhere, never answer.
 """
 
 MAX_OPENING_TRIES = 5
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -32,6 +32,7 @@
     StoredObject,
 )
 from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
+from bramleydyke.direct.upstream_view import Report
 from bramleydyke.ports import Clock
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
@@ -54,6 +55,18 @@
     sequence: int
     revision: int
     state: UpstreamState
+    slots: int = 1
+
+    def report(self) -> Report:
+        """Returns the report that the entry rests on, as far as it is kept."""
+        return Report(
+            upstream=self.upstream,
+            service=self.service,
+            lifetime=self.lifetime,
+            sequence=self.sequence,
+            draining=self.state is not UpstreamState.READY,
+            slots=self.slots,
+        )
 
     def announcement(self) -> Announcement:
         """Returns what the entry announces."""
@@ -66,6 +79,7 @@
             sequence=self.sequence,
             revision=self.revision,
             state=self.state,
+            slots=self.slots,
         )
 
 
@@ -80,6 +94,7 @@
         sequence=announcement.sequence,
         revision=announcement.revision,
         state=announcement.state,
+        slots=announcement.slots,
     )
 
 
@@ -89,6 +104,7 @@
 
     Attributes:
         announced: Takes an announcement; see ``Balancer.announced``.
+        learned: Called after each list, from which much may be new.
     """
 
     store: Store
@@ -100,6 +116,7 @@
     spread: Spread
     count: Count
     record: Record
+    learned: Callable[[], None] = lambda: None
     watches: list[KindWatch] = field(default_factory=list)
     stopped: bool = False
     listed_names: set[NodeIp] = field(default_factory=set)
@@ -185,6 +202,7 @@
         for stored in listing.objects:
             self._take_routes(stored)
         self.routes.confirm(now=self.clock.seconds())
+        self.learned()
 
     def _routes_changed(self, changes: Changes) -> None:
         for change in changes.changes:
@@ -206,6 +224,7 @@
             self.directory.removed(node, now=self.clock.seconds())
         self.listed_names = names
         self.directory.complete = True
+        self.learned()
 
     def _upstreams_lost(self) -> None:
         self.directory.complete = False
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -46,8 +46,7 @@
         suspected: True if an opening packet got no answer since then.
         ended: True if the upstream has said that it is gone.
         seen_from_start: True if it started under this process.
-        recalled_order: Order of a report that an earlier process took.
-        recalled_ready: True if the upstream was ready then.
+        recalled: Report that an earlier process took and stored.
     """
 
     report_interval_s: float
@@ -56,19 +55,22 @@
     suspected: bool = False
     ended: bool = False
     seen_from_start: bool = False
-    recalled_order: tuple[int, int] = (0, 0)
-    recalled_ready: bool = False
+    recalled: Report | None = None
 
-    def recall(self, lifetime: Lifetime, sequence: int, state: UpstreamState) -> None:
-        """Takes what an earlier process stored of the upstream."""
-        self.recalled_order = (lifetime, sequence)
-        self.recalled_ready = state is UpstreamState.READY
+    def recall(self, report: Report) -> None:
+        """Takes a report that an earlier process stored."""
+        self.recalled = report
+
+    @property
+    def newest(self) -> Report | None:
+        """The newest report, which an earlier process may have taken."""
+        return self.recalled if self.report is None else self.report
 
     def take(self, report: Report, *, now: float) -> bool:
         """Takes a report; returns False if a later one is known."""
         old = self.report
-        newest = self.recalled_order if old is None else _order(old)
-        if _order(report) <= newest:
+        newest = self.newest
+        if newest is not None and _order(report) <= _order(newest):
             return False
         if old is None or report.lifetime > old.lifetime:
             self.ended = False
@@ -80,7 +82,7 @@
 
     def left(self, upstream: UpstreamId) -> bool:
         """Notes that an upstream is gone; False if it is another one."""
-        if self.report is None or self.report.upstream != upstream:
+        if self.newest is None or self.newest.upstream != upstream:
             return False
         self.ended = True
         return True
@@ -88,7 +90,7 @@
     @property
     def slots(self) -> int:
         """Requests that the upstream works on at once."""
-        return 1 if self.report is None else max(1, self.report.slots)
+        return 1 if self.newest is None else max(1, self.newest.slots)
 
     def cold(self, *, now: float) -> bool:
         """Tells whether the upstream is still slow after its start."""
@@ -101,11 +103,11 @@
 
     def state(self, *, now: float) -> UpstreamState | None:
         """Returns the state, or None if nothing is known."""
-        if self.report is None:
-            ready = self.recalled_ready and not self.suspected
-            return UpstreamState.READY if ready else None
         if self.ended:
             return UpstreamState.GONE
+        if self.report is None:
+            ready = self.recalled is not None and not self.recalled.draining
+            return UpstreamState.READY if ready and not self.suspected else None
         if self.report.draining:
             return UpstreamState.DRAINING
         overdue = now - self.reported_at > LOST_REPORTS * self.report_interval_s
--- a/src/bramleydyke/platform/main.py
+++ b/src/bramleydyke/platform/main.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import os
 import sys
 from pathlib import Path
 from typing import Any
 
+from bramleydyke.adapters.early_sockets import EarlySockets
 from bramleydyke.adapters.http_calls import HttpCalls
 from bramleydyke.daemons.direct import NewStore, run_node
 from bramleydyke.daemons.direct_agent import DirectAgent
@@ -23,22 +23,24 @@
 from bramleydyke.platform.store import PlatformStore
 from bramleydyke.ports import Clock
 
-SETTINGS_VARIABLE = "BRAMLEYDYKE_SETTINGS"
-
 START_FAILED = 2
 """Exit status of a program that cannot start."""
 
 
-def main() -> int:
-    """Runs the program that the settings name; returns its exit status."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+def main(path: Path, early: EarlySockets) -> int:
+    """Runs the program that the settings name; returns its exit status.
+
+    Args:
+        path: Settings file.
+        early: Sockets that are open already.
+    """
     try:
         settings = load_settings(path)
     except SettingsError as error:
         sys.stderr.write(f"bramleydyke: {error}\n")
         return START_FAILED
     run_node(
-        lambda reactor: new_node(reactor, settings, path),
+        lambda reactor: new_node(reactor, settings, path, early=early),
         lambda node: node.terminate(),
     )
     return 0
--- a/src/bramleydyke/standins/platform_vm/ends.py
+++ b/src/bramleydyke/standins/platform_vm/ends.py
@@ -124,6 +124,7 @@
             count=lambda _: None,
             after_batch=lambda: None,
         )
+        self.sockets.start()
         self.calls = HttpCalls(
             reactor=self.reactor, clock=self.clock, content_type="application/json"
         )
@@ -362,6 +363,7 @@
             count=lambda _: None,
             after_batch=lambda: None,
         )
+        self.socket.start()
 
     def open(self, target: End) -> CallerFlow:
         """Opens a flow."""
--- a/tests/direct/test_drain.py
+++ b/tests/direct/test_drain.py
@@ -17,6 +17,7 @@
     SUSPECT_S,
 )
 from bramleydyke.direct.messages import Offer, Placed, Queued, Refused
+from bramleydyke.direct.registry import entry_of
 from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
 from bramleydyke.direct.upstream_flows import UpstreamFlow
 from bramleydyke.direct.upstream_view import Report, UpstreamView
@@ -51,10 +52,8 @@
 
 BEFORE = {
     "unknown": lambda view: None,
-    "recalled ready": lambda view: view.recall(Lifetime(5), 3, UpstreamState.READY),
-    "recalled draining": lambda view: view.recall(
-        Lifetime(5), 3, UpstreamState.DRAINING
-    ),
+    "recalled ready": lambda view: view.recall(report(5, 3)),
+    "recalled draining": lambda view: view.recall(report(5, 3, draining=True)),
     "ready": lambda view: view.take(report(5, 3), now=0.0),
     "draining": lambda view: view.take(report(5, 3, draining=True), now=0.0),
     "suspected": lambda view: (
@@ -82,8 +81,8 @@
 SILENT, GONE = UpstreamState.SILENT, UpstreamState.GONE
 AFTER = {
     "unknown": [READY, DRAINING, READY, READY, READY, None, None, None],
-    "recalled ready": [READY, DRAINING, READY, READY, READY, READY, READY, READY],
-    "recalled draining": [READY, DRAINING, None, None, READY, None, None, None],
+    "recalled ready": [READY, DRAINING, READY, READY, READY, GONE, READY, READY],
+    "recalled draining": [READY, DRAINING, None, None, READY, GONE, None, None],
     "ready": [READY, DRAINING, READY, READY, READY, GONE, READY, SILENT],
     "draining": [READY, DRAINING, DRAINING, DRAINING, READY, GONE, DRAINING, DRAINING],
     "suspected": [READY, DRAINING, SILENT, SILENT, READY, GONE, SILENT, SILENT],
@@ -161,7 +160,7 @@
     upstream.draining = True
     agent = network.agents[upstream.node]
     agent.report(upstream.report(), now=network.now)
-    stored = agent.announcer.announcement(now=network.now)
+    stored = entry_of(agent.announcer.announcement(now=network.now))
     drained_at = network.now
     network.restart_agent(upstream.node, down_s=0.6, planned=False)
     network.run(0.3)
@@ -170,7 +169,7 @@
         balancer.announced(announcement, now=network.now, source="store")
     network.run(0.6)
     restarted = network.agents[upstream.node]
-    restarted.view.recall(stored.lifetime, stored.sequence, stored.state)
+    restarted.recall(stored.report(), now=network.now)
     for _ in range(40):
         network.open_flow()
     network.run(1.0)
@@ -197,7 +196,7 @@
     agent.send = agent.announcer.send = lambda to, message: sent.append(message)
     agent.message_in(NodeIp("10.0.1.0"), opening(number=1), now=network.now)
     assert refusals(sent) == [ErrorKind.STALE_GENERATION]
-    agent.view.recall(Lifetime(5), 3, UpstreamState.READY)
+    agent.view.recall(report(5, 3))
     agent.message_in(NodeIp("10.0.1.0"), opening(number=2), now=network.now)
     network.run(0.1)
     assert any(isinstance(message, Placed) for message in sent)
@@ -307,6 +306,19 @@
     assert refusals(sent) == [ErrorKind.BUSY]
 
 
+def test_a_restarted_agent_tells_balancers_at_once_that_it_is_back():
+    """Balancers left it out until the upstream's next report."""
+    network, agent, _ = network_with_agent()
+    balancer = next(iter(network.balancers.values()))
+    stored = entry_of(agent.announcer.announcement(now=network.now))
+    for _ in range(4):
+        balancer.directory.silent(agent.node, now=network.now)
+    restarted = network.start_agent(agent.node)
+    restarted.recall(stored.report(), now=network.now)
+    network.run(0.05)
+    assert balancer.directory.answers(agent.node, now=network.now)
+
+
 def test_several_open_questions_suspect_an_agent_only_once():
     network, agent, _ = network_with_agent()
     directory = next(iter(network.balancers.values())).directory
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -185,6 +185,7 @@
         count=seen.append,
         after_batch=lambda: None,
     )
+    datagrams.start()
     datagrams.send(b"hello", "127.0.0.1", port)
     spin(lambda: seen)
     assert seen == [(b"hello", "127.0.0.1")]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,6 +34,7 @@
     "sequence": 2,
     "revision": 1,
     "state": "ready",
+    "slots": 1,
 }
 
 
