Load the writer of the metrics page with the first page

Cause: a start imports prometheus_client, 26 of 490 ms by -X importtime, though most processes are never scraped, and a start is part of each recovery.

Change: the page keeps plain buckets and imports the library when it is rendered.

A test checks that a start does not load it.

--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+import subprocess
 import sys
 from pathlib import Path
 
@@ -258,6 +259,15 @@
 # Metrics.
 
 
+def test_a_start_does_not_load_the_writer_of_the_metrics_page():
+    """Loading it takes a twentieth of a start, which is part of a recovery."""
+    program = (
+        "import sys; import bramleydyke.platform.main;"
+        "sys.exit('prometheus_client' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", program]).returncode == 0
+
+
 def test_the_metrics_page_has_counters_gauges_and_latencies():
     counts = {"refused.busy": 3}
     page = MetricsPage(counts=counts, gauges=lambda: {"upstreams": 7})
