Ask for many flows in one message

Cause: after a restart of many processes each balancer seeks hundreds of flows, and each lookup sent 28 to 60 bytes to up to 64 agents in messages of their own, on links of 5 to 10 Mbit/s that have to carry new flows at the same time.

Change: Seek, Absent and Unsure carry several flows. The first question leaves at once; those of the next 5 ms are collected, 48 flows at most in one.

--- a/scripts/direct_slopes.py
+++ b/scripts/direct_slopes.py
@@ -156,9 +156,9 @@
         "bytes_per_route": allocated(route_set) / SERVICES,
         "snapshot_bytes_per_route": len(encode(route_set())) / SERVICES,
         "announcement_bytes": len(encode(announcement(70_000))),
-        "seek_bytes": len(encode(Seek(flow(1), ServiceId("svc830"), 12_345_678))),
+        "seek_bytes": len(encode(Seek(ServiceId("svc830"), [(flow(1), 12_345_678)]))),
         "placed_bytes": len(encode(Placed(flow(1), LIFETIME, 123_456, Load(1, 2)))),
-        "absent_bytes": len(encode(Absent(flow(1)))),
+        "absent_bytes": len(encode(Absent([flow(1)]))),
         "notice_bytes": len(encode(Notice(NODE, ConfigVersion(1_000)))),
         "placement_us": placement_us(),
     }
--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -244,8 +244,8 @@
     Mutation(
         "try_all_upstreams_at_once",
         "lookups.py",
-        "            if probe:\n                message",
-        "            if True:\n                message",
+        "            if probe:\n                forward",
+        "            if True:\n                forward",
         "direct",
     ),
     Mutation(
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -18,7 +18,6 @@
     REQUESTS_PER_SLOT,
     UPSTREAM_SILENT_S,
 )
-from bramleydyke.direct.holders import acknowledges
 from bramleydyke.direct.messages import (
     Absent,
     Forward,
@@ -216,12 +215,10 @@
         if 0 < flow.lifetime < lifetime:
             self._reset(packet, why="upstream restarted")
             return
-        first = flow.first_sequence
-        if not flow.open:
-            if first is None or not acknowledges(packet.acknowledged, first):
-                self._not_here(sender, message, packet)
-                return
-            flow.open = True
+        if not flow.is_meant(packet.acknowledged):
+            self._not_here(sender, message, packet)
+            return
+        flow.open = True
         flow.balancer = sender
         if packet.payload_bytes:
             self.flows.requested(key, now=now)
@@ -234,21 +231,22 @@
         self._hand_over(packet)
 
     def _sought(self, sender: NodeIp, message: Seek, *, now: float) -> None:
-        """Tells a balancer whether the upstream holds a flow."""
-        key = message.flow
-        flow = self.flows.flows.get(key)
-        if flow is not None:
-            first = flow.first_sequence
-            answered = first is not None and acknowledges(message.acknowledged, first)
-            if flow.open or answered:
+        """Tells a balancer which of some flows the upstream holds."""
+        absent: list[FlowTuple] = []
+        unsure: list[FlowTuple] = []
+        for key, acknowledged in message.flows:
+            flow = self.flows.flows.get(key)
+            if flow is not None and flow.is_meant(acknowledged):
                 placed = Placed(key, flow.lifetime, None, self.load(now=now))
                 self.send(sender, placed)
+            elif flow or self._surely_absent(key, message.service, now=now):
+                absent.append(key)
             else:
-                self.send(sender, Absent(key))
-        elif self._surely_absent(key, message.service, now=now):
-            self.send(sender, Absent(key))
-        else:
-            self.send(sender, Unsure(key))
+                unsure.append(key)
+        if absent:
+            self.send(sender, Absent(absent))
+        if unsure:
+            self.send(sender, Unsure(unsure))
 
     def _surely_absent(self, key: FlowTuple, service: ServiceId, *, now: float) -> bool:
         """Tells whether the upstream cannot hold a flow that is not known."""
@@ -274,7 +272,7 @@
 
     def _not_here(self, sender: NodeIp, message: Forward, packet: Packet) -> None:
         if message.probe:
-            self.send(sender, Absent(packet.flow))
+            self.send(sender, Absent([packet.flow]))
         else:
             self.count(counter_name(ErrorKind.MOVED))
             self.send(sender, Returned(packet.flow, packet.datagram))
@@ -326,7 +324,7 @@
         if probe is None:
             return
         if probe.sought:
-            self.send(probe.balancer, Absent(key))
+            self.send(probe.balancer, Absent([key]))
         else:
             self.send(probe.balancer, Returned(key, packet.datagram))
 
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -104,9 +104,11 @@
             case Returned():
                 self._returned(sender, message, now=now)
             case Absent():
-                self.lookups.absent(message.flow, sender, now=now)
+                for flow in message.flows:
+                    self.lookups.absent(flow, sender, now=now)
             case Unsure():
-                self.lookups.unsure(message.flow, sender, now=now)
+                for flow in message.flows:
+                    self.lookups.unsure(flow, sender, now=now)
             case Announcement() if message.node != sender:
                 self.count("refused.foreign_announcement")
                 self.record("foreign_announcement", peer=sender, agent=message.node)
@@ -132,7 +134,7 @@
         """Returns when ``wake`` has something to do, in seconds."""
         times = (
             self.openings.timers.next(),
-            self.lookups.timers.next(),
+            self.lookups.next_wakeup(),
             self.spread.next_wakeup(),
         )
         return min((time for time in times if time is not None), default=None)
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -68,6 +68,15 @@
 MAX_LOOKUP_AGENTS = 128
 """Agents that are asked at most before a flow is taken for dead."""
 
+LOOKUP_BATCH_S = 0.005
+"""Time in which questions to one agent are collected, half a round trip.
+
+After a restart of many processes each balancer seeks hundreds of flows.
+"""
+
+MAX_SOUGHT = 48
+"""Flows in one question, of 20 bytes each; a datagram has 1,400 at most."""
+
 SMALL_FLEET = 16
 """Agents up to which a lookup asks all at once; an answer may cross zones."""
 
--- a/src/bramleydyke/direct/lookups.py
+++ b/src/bramleydyke/direct/lookups.py
@@ -19,10 +19,12 @@
 from bramleydyke.direct.constants import (
     CANDIDATES,
     HELD_PACKETS,
+    LOOKUP_BATCH_S,
     LOOKUP_HOLD_S,
     LOOKUP_STAGE_S,
     MAX_EARLY_PROBES,
     MAX_LOOKUP_AGENTS,
+    MAX_SOUGHT,
     SMALL_FLEET,
 )
 from bramleydyke.direct.directory import Directory
@@ -33,6 +35,8 @@
 from bramleydyke.types import ServiceId
 
 Asked = tuple[NodeIp, ServiceId]
+Sought = tuple[FlowTuple, int]
+"""A flow, and what its caller acknowledges."""
 
 
 @dataclass(slots=True)
@@ -62,7 +66,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Lookups:
-    """Flows whose holders are sought, and those not found a moment ago."""
+    """Flows whose holders are sought, and those not found a moment ago.
+
+    Attributes:
+        batches: Questions that are collected, by agent.
+        collect_until: Questions are collected before this time, in seconds.
+    """
 
     directory: Directory
     send: Send
@@ -71,6 +80,8 @@
     record: Record
     waiting: dict[FlowTuple, Lookup] = field(default_factory=dict)
     timers: Timers[FlowTuple] = field(default_factory=Timers)
+    batches: dict[Asked, list[Sought]] = field(default_factory=dict)
+    collect_until: float = 0.0
 
     def packet_in(
         self, packet: Packet, services: list[ServiceId], *, now: float
@@ -122,12 +133,21 @@
 
     def wake(self, *, now: float) -> None:
         """Asks more agents about the flows that were not found."""
+        if self.batches and now >= self.collect_until:
+            self._flush(now=now)
         for flow in self.timers.pop_due(now):
             lookup = self.waiting.get(flow)
             if lookup is None:
                 continue
             self._next_stage(flow, lookup, now=now)
 
+    def next_wakeup(self) -> float | None:
+        """Returns when ``wake`` has something to do, in seconds."""
+        due = self.timers.next()
+        if not self.batches:
+            return due
+        return self.collect_until if due is None else min(due, self.collect_until)
+
     def _conclude(self, flow: FlowTuple, lookup: Lookup, *, now: float) -> None:
         """Ends a lookup without a holder.
 
@@ -196,10 +216,27 @@
             lookup.awaited.add(node)
             lookup.services[node] = service
             if probe:
-                message: object = Forward(service, True, Lifetime(0), packet.datagram)
+                forward = Forward(service, True, Lifetime(0), packet.datagram)
+                self.send(node, forward)
             else:
-                message = Seek(flow, service, packet.acknowledged)
-            self.send(node, message)
+                self._seek(node, service, (flow, packet.acknowledged))
+        if self.batches and now >= self.collect_until:
+            self._flush(now=now)
+
+    def _seek(self, node: NodeIp, service: ServiceId, sought: Sought) -> None:
+        """Adds a question to those that the agent gets next."""
+        batch = self.batches.setdefault((node, service), [])
+        batch.append(sought)
+        if len(batch) >= MAX_SOUGHT:
+            del self.batches[node, service]
+            self.send(node, Seek(service, batch))
+
+    def _flush(self, *, now: float) -> None:
+        """Sends the questions so far; collects those that follow soon."""
+        self.collect_until = now + LOOKUP_BATCH_S
+        batches, self.batches = self.batches, {}
+        for (node, service), flows in batches.items():
+            self.send(node, Seek(service, flows))
 
     def _may_probe(self, lookup: Lookup, *, now: float) -> bool:
         """Tells whether the undecided agents may try the packet now.
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -61,12 +61,14 @@
 
 
 class Seek(Message, tag=10):
-    """Balancer to agent: does the upstream hold a flow?"""
+    """Balancer to agent: which of some flows does the upstream hold?"""
 
-    flow: FlowTuple
     service: ServiceId
-    acknowledged: int
-    """What the caller acknowledges, which shows the upstream that it means."""
+    flows: list[tuple[FlowTuple, int]]
+    """Each flow with what its caller acknowledges.
+
+    The acknowledgement shows the upstream that the caller means.
+    """
 
 
 class Placed(Message, tag=2):
@@ -103,15 +105,15 @@
 
 
 class Absent(Message, tag=8):
-    """Agent to balancer: the upstream surely does not hold a flow."""
+    """Agent to balancer: the upstream surely does not hold these flows."""
 
-    flow: FlowTuple
+    flows: list[FlowTuple]
 
 
 class Unsure(Message, tag=9):
-    """Agent to balancer: the upstream may hold a flow of earlier."""
+    """Agent to balancer: the upstream may hold these flows from earlier."""
 
-    flow: FlowTuple
+    flows: list[FlowTuple]
 
 
 class Announcement(Message, tag=5):
--- a/src/bramleydyke/direct/upstream_flows.py
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -12,6 +12,7 @@
     OPEN_FLOW_LOAD,
     OPENING_LIMIT_S,
 )
+from bramleydyke.direct.holders import acknowledges
 from bramleydyke.direct.messages import Load
 from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp
 
@@ -41,6 +42,16 @@
         """True if both ends have sent all their data."""
         return self.caller_finished and self.upstream_finished
 
+    def is_meant(self, acknowledged: int) -> bool:
+        """Tells whether a caller's packet belongs to the flow here.
+
+        While it is not open, the caller may go on with another upstream.
+        """
+        if self.open:
+            return True
+        first = self.first_sequence
+        return first is not None and acknowledges(acknowledged, first)
+
 
 @dataclass(slots=True, kw_only=True)
 class UpstreamFlows:
