Keep an open flow when a copy of its opening packet comes late

The first copy of an opening packet had waited at one balancer while the second opened the flow through another. When the first copy arrived, the agent took it for a new flow, overwrote the first sequence number and denied the flow to the next balancer that sought it.

Change: a flow that has not ended at both ends is kept, whatever the copy's number, and an open flow keeps its sequence number.

Before and after: test_a_late_opening_packet_does_not_replace_an_open_flow fails before (reset) and passes now, for both copies. Ruled out: a restart of the agent or the upstream (no log line of either).

--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -134,7 +134,8 @@
         key = packet.flow
         flow = self.flows.touch(key, now=now)
         if flow is not None and flow.lifetime == self.view.lifetime:
-            if packet.copies or flow.first_sequence is None:
+            # Copies take different ways, so the first one may be the last.
+            if packet.copies or not flow.finished:
                 flow.balancer = sender
                 self._hand_over(packet)
                 self._tell_placed(key, flow, now=now)
@@ -336,7 +337,8 @@
             flow = self._learn(key, packet, now=now)
         if packet.accepting:
             self.unanswered.cancel(key)
-            flow.first_sequence = packet.sequence
+            if not flow.open:
+                flow.first_sequence = packet.sequence
             self._tell_placed(key, flow, now=now)
         if packet.finish:
             self.flows.finish(flow, caller=False)
--- a/tests/direct/network.py
+++ b/tests/direct/network.py
@@ -85,10 +85,9 @@
         flow = FlowTuple(wire.flow)
         assert not wire.bounced
         if wire.opening:
-            if flow not in self.open:
-                first = self.pending.setdefault(flow, self.network.number())
-                self.opened_at.append((self.network.now, flow))
-                self.out(flow=flow, accepting=True, sequence=first)
+            first = self.pending.setdefault(flow, self.network.number())
+            self.opened_at.append((self.network.now, flow))
+            self.out(flow=flow, accepting=True, sequence=first)
         elif flow in self.open or self.pending.get(flow) == wire.acknowledged - 1:
             self.pending.pop(flow, None)
             self.open.add(flow)
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -14,7 +14,7 @@
     OPENING_RETRY_S,
     REQUESTS_PER_SLOT,
 )
-from bramleydyke.direct.messages import encode
+from bramleydyke.direct.messages import Offer, encode
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.types import NodeIp
 
@@ -237,6 +237,30 @@
     assert sum(u.foreign[flow] for u in network.upstreams.values()) < 3
 
 
+@pytest.mark.parametrize("copies", [0, 1])
+def test_a_late_opening_packet_does_not_replace_an_open_flow(copies):
+    """A packet that had waited at another balancer came after the flow opened.
+
+    The agent took it for a new flow, denied the old one to balancers that
+    sought it, and the caller got a reset. Seen in the fault soak, seed 10.
+    """
+    network = system(4, upstreams=1)
+    caller = opened(network, 1)[0]
+    caller.request()
+    network.run(0.5)
+    agent = network.agents[NodeIp("10.0.2.0")]
+    late = pack(flow=caller.flow, opening=True, copies=copies)
+    offer = Offer(SERVICE, 0, 1.0, False, late)
+    agent.message_in(NodeIp("10.0.1.0"), offer, now=network.now)
+    network.run(0.5)
+    for balancer in network.balancers.values():
+        balancer.holders.forget(caller.flow)
+    question = caller.request()
+    network.run(1.0)
+    assert not caller.ended
+    assert question in caller.answers
+
+
 def test_new_flows_avoid_an_agent_that_is_cut_off():
     network = system(1)
     network.cut.add(NodeIp("10.0.2.0"))
