Fault soak over separate processes

Change: tests/soak runs the programs as processes on loopback, with the stand-ins of the platform around them, and injects kills, stops, pauses, restarts, changed settings, outages and lost answers of the store, a proxy before the store that delays, resets, cuts one way and silences, upstreams that crash and are replaced, and changed routes. It checks resets, services, drains, routes in force, forged packets and recovery while it runs. python -m bramleydyke.platform starts a program.

--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,124 @@
+"""TCP proxy on loopback that delays, resets or silences connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+
+
+class Mode(Enum):
+    """What happens to the bytes of all connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    """Bytes are dropped both ways, and the connections stay open."""
+
+    ONE_WAY = "one_way"
+    """Only what the server sends is dropped."""
+
+    REFUSE = "refuse"
+    """Open connections were reset, and new ones are."""
+
+
+class StoreProxy:
+    """Proxy of one node; a silenced connection stays silent for good."""
+
+    def __init__(
+        self, reactor: Any, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        self.reactor = reactor
+        self.target = target
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+        self.pairs: set[_Inbound] = set()
+        factory = Factory.forProtocol(lambda: _Inbound(self))
+        factory.noisy = False
+        self.port = reactor.listenTCP(listen[1], factory, interface=listen[0])
+
+    def set(self, mode: Mode, *, delay_s: float = 0.0) -> None:
+        """Changes what happens from now on."""
+        self.mode = mode
+        self.delay_s = delay_s
+        for pair in list(self.pairs):
+            pair.silenced |= mode is Mode.SILENT
+            pair.deaf |= mode is Mode.ONE_WAY
+            if mode is Mode.REFUSE:
+                pair.transport.abortConnection()
+
+    def close(self) -> None:
+        """Closes the port and all connections."""
+        self.port.stopListening()
+        self.set(Mode.REFUSE)
+
+    def later(self, write: Callable[[], None]) -> None:
+        """Passes bytes on, after the delay if there is one."""
+        if self.mode is Mode.DELAY:
+            self.reactor.callLater(self.delay_s, write)
+        else:
+            write()
+
+
+class _Inbound(Protocol):
+    def __init__(self, proxy: StoreProxy) -> None:
+        self.proxy = proxy
+        self.outbound: _Outbound | None = None
+        self.waiting: list[bytes] = []
+        self.silenced = proxy.mode is Mode.SILENT
+        self.deaf = proxy.mode is Mode.ONE_WAY
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if self.proxy.mode is Mode.REFUSE:
+            self.transport.abortConnection()
+            return
+        self.proxy.pairs.add(self)
+        self.proxy.reactor.connectTCP(*self.proxy.target, _Connect(self))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self.silenced:
+            self.proxy.later(lambda: self.pass_on(data))
+
+    def pass_on(self, data: bytes) -> None:
+        if self.outbound is None:
+            self.waiting.append(data)
+        else:
+            self.outbound.transport.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.proxy.pairs.discard(self)
+        if self.outbound is not None:
+            self.outbound.transport.abortConnection()
+
+
+class _Outbound(Protocol):
+    def __init__(self, inbound: _Inbound) -> None:
+        self.inbound = inbound
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.inbound.outbound = self
+        for data in self.inbound.waiting:
+            self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not (self.inbound.silenced or self.inbound.deaf):
+            self.inbound.proxy.later(lambda: self.inbound.transport.write(data))
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        if not self.inbound.silenced:
+            self.inbound.transport.loseConnection()
+
+
+class _Connect(ClientFactory):
+    noisy = False
+
+    def __init__(self, inbound: _Inbound) -> None:
+        self.inbound = inbound
+
+    def buildProtocol(self, address: Any) -> _Outbound:  # noqa: N802
+        return _Outbound(self.inbound)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        self.inbound.transport.abortConnection()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,265 @@
+"""Randomized fault soak: real programs as processes, faults from outside.
+
+Callers use flows all the time while faults come in series and overlap. What
+callers and upstreams see is checked against the promises while the run lasts.
+Usage: ``python tests/soak/soak.py --seed 1 --runs 50 --jobs 4``.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import tempfile
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import click
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from faults import CALM_S, DRAIN_S, FAULTS  # noqa: E402
+from world import ROUTE_IP, World  # noqa: E402
+
+ROUTES = {8443: "board", 80: "vault"}
+CONFIG_S = 3.0
+"""Time after which a change of the routes is in force."""
+
+SETTLE_S = 4.0
+"""Time from the start of the processes to the first fault."""
+
+RECOVER_S = 8.0
+"""Time from the last fault until callers are served again."""
+
+SERVED = 0.9
+"""Share of the callers that are served then."""
+
+TICK_S = 0.03
+MAX_OPEN = 40
+
+
+@dataclass(slots=True)
+class Use:
+    """A flow that callers use.
+
+    Attributes:
+        probe: True if it only tests which routes are in force.
+    """
+
+    flow: Any
+    port: int
+    opened_at: float
+    probe: bool = False
+    asked: list[bytes] = field(default_factory=list)
+    judged: bool = False
+
+
+class Soak:
+    """One run: callers, faults and checks."""
+
+    def __init__(self, world: World, source: random.Random) -> None:
+        self.world = world
+        self.random = source
+        self.uses: list[Use] = []
+        self.requests = count(1)
+        self.stats: Counter[str] = Counter()
+        self.faults: list[str] = []
+
+    def open(self, port: int, *, probe: bool = False) -> Use:
+        flow = self.world.callers.open((ROUTE_IP, port))
+        use = Use(flow, port, self.world.now(), probe)
+        self.uses.append(use)
+        return use
+
+    def ask(self, use: Use) -> None:
+        text = b"q%d" % next(self.requests)
+        use.asked.append(text)
+        use.flow.request(text)
+
+    def tick(self) -> None:
+        """Opens and uses flows, and checks what has happened."""
+        if self.world.closed:
+            return
+        self.world.clock.callLater(TICK_S, self.tick)
+        usable = [use for use in self.uses if use.flow.state == "open"]
+        if len(usable) < MAX_OPEN and self.random.random() < 0.5:
+            self.open(self.random.choice(list(ROUTES)))
+        if usable:
+            use = self.random.choice(usable)
+            self.ask(use)
+            if len(use.asked) > 20:
+                use.flow.finish()
+                use.flow.state = "finished"
+        if self.random.random() < 0.1:
+            self._probe_routes()
+        self._check()
+
+    def inject(self) -> None:
+        """Injects the next fault, and others after it."""
+        fault = self.random.choice(FAULTS)
+        seconds = self.random.uniform(0.3, 3.0)
+        at = self.world.now()
+        self.faults.append(f"{at:.2f} {fault.__name__} {seconds:.2f}")
+        self.stats[fault.__name__] += 1
+        fault(self.world, seconds)
+
+    def _probe_routes(self) -> None:
+        world = self.world
+        ports = [*world.added, *world.dropped]
+        if ports:
+            self.open(self.random.choice(ports), probe=True)
+
+    def _fail(self, rule: str, text: str) -> None:
+        self.world.failures.append(f"{self.world.now():.2f} {rule}: {text}")
+
+    def _check(self) -> None:
+        for use in self.uses:
+            if not use.judged:
+                self._check_use(use)
+        self._check_drains()
+        if self.world.callers.forged:
+            self._fail("MIXED", "a caller got a forged packet")
+            self.world.callers.forged = 0
+
+    def _check_use(self, use: Use) -> None:
+        flow, world = use.flow, self.world
+        expected = world.routes.get(use.port)
+        for text in use.asked:
+            answer = flow.answers.get(text)
+            if answer and expected and answer.split()[0] != expected.encode():
+                self._fail("ROUTE", f"{flow.source} got {answer!r}")
+                use.judged = True
+        if use.probe and flow.state != "opening":
+            use.judged = True
+            self._check_probe(use)
+        elif flow.state == "reset":
+            use.judged = True
+            self.stats["resets"] += 1
+            if use.asked:
+                self._check_reset(use)
+        elif flow.state in ("not opened", "finished"):
+            use.judged = True
+            self.stats[flow.state] += 1
+
+    def _check_probe(self, use: Use) -> None:
+        world = self.world
+        state = use.flow.state
+        calm = world.calm(*world.balancers, for_s=CALM_S)
+        dropped = world.dropped.get(use.port, float("inf"))
+        if dropped + CONFIG_S < use.opened_at and state == "open" and calm:
+            self._fail("CONFIG", f"opened through dropped route {use.port}")
+        added = world.added.get(use.port, float("inf"))
+        if added + CONFIG_S < use.opened_at and state == "reset" and calm:
+            service = world.routes[use.port]
+            if any(u.service == service for u in world.upstreams.values() if u.alive):
+                self._fail("CONFIG", f"refused added route {use.port}")
+        if state == "open":
+            use.flow.finish()
+            use.flow.state = "finished"
+
+    def _check_reset(self, use: Use) -> None:
+        flow, world = use.flow, self.world
+        for ip, upstream in world.upstreams.items():
+            held = (flow.source, flow.target) in upstream.open
+            if held and upstream.alive and world.calm(ip, for_s=CALM_S):
+                self._fail("FLOW", f"{flow.source} was reset, {ip} holds it")
+
+    def _check_drains(self) -> None:
+        world = self.world
+        for ip, upstream in world.upstreams.items():
+            if upstream.forged:
+                self._fail("UNASKED", f"{ip} got a forged packet")
+                upstream.forged = 0
+            if not (upstream.alive and upstream.acknowledged_drain):
+                continue
+            acknowledged_at = world.drains.setdefault(ip, world.now())
+            if upstream.taken_at > acknowledged_at + DRAIN_S:
+                self._fail("DRAIN", f"{ip} got a new flow after its drain")
+                upstream.taken_at = 0.0
+
+    def finish(self) -> list[Use]:
+        """Opens the flows by which recovery is judged."""
+        return [self.open(port) for port in ROUTES for _ in range(15)]
+
+    def judge(self, last: list[Use]) -> None:
+        """Checks that callers are served again."""
+        share = sum(use.flow.state in ("open", "finished") for use in last) / len(last)
+        if share < SERVED:
+            self._fail("RECOVER", f"only {share:.0%} of the last flows opened")
+
+
+def play(seed: int, *, seconds: float) -> tuple[list[str], str]:
+    """Plays one run; returns what failed and a summary.
+
+    Args:
+        seed: Seed of the faults and of the traffic.
+        seconds: Time in which faults are injected.
+    """
+    from twisted.internet import reactor as any_reactor
+
+    reactor: Any = any_reactor
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    source = random.Random(seed)
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    world = World(
+        reactor=reactor,
+        network=f"127.{60 + seed % 150}",
+        folder=folder,
+        random_source=source,
+    )
+    soak = Soak(world, source)
+
+    def run(until: float) -> None:
+        while world.now() < until:
+            reactor.iterate(0.01)
+
+    try:
+        world.start(ROUTES, balancers=3, upstreams=6)
+        started = world.now()
+        run(started + 2.0)
+        soak.tick()
+        at = SETTLE_S
+        while at < SETTLE_S + seconds:
+            world.later(at - 2.0, soak.inject)
+            at += source.expovariate(0.8)
+        run(started + SETTLE_S + seconds + 3.0 + RECOVER_S)
+        last = soak.finish()
+        run(world.now() + 2.0)
+        soak.judge(last)
+    finally:
+        world.close()
+        run(world.now() + 0.1)
+    stats = ", ".join(f"{name} {n}" for name, n in sorted(soak.stats.items()))
+    summary = f"seed {seed}: {len(soak.uses)} flows, {stats}; logs in {folder}"
+    if world.failures:
+        (folder / "faults.txt").write_text("\n".join(soak.faults))
+    return world.failures, summary
+
+
+@click.command()
+@click.option("--seed", default=1, help="Seed of the first run.")
+@click.option("--runs", default=1, help="Number of runs, with one seed each.")
+@click.option("--jobs", default=1, help="Runs at a time.")
+@click.option("--seconds", default=12.0, help="Time in which faults are injected.")
+def main(*, seed: int, runs: int, jobs: int, seconds: float) -> None:
+    """Plays runs and prints what failed."""
+    seeds = range(seed, seed + runs)
+    failed = 0
+    with ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+        futures = [pool.submit(play, one, seconds=seconds) for one in seeds]
+        for future in futures:
+            failures, summary = future.result()
+            click.echo(summary)
+            for failure in failures:
+                click.echo(f"  {failure}")
+            failed += bool(failures)
+    click.echo(f"{failed} of {runs} runs failed")
+    sys.exit(failed > 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,295 @@
+"""The programs as processes, with the platform's stand-ins around them."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from proxy import StoreProxy
+
+from bramleydyke.adapters.clock import MonotonicClock
+from bramleydyke.standins.platform_vm.ends import Callers, Routers, UpstreamStandIn
+from bramleydyke.standins.platform_vm.store import StoreStandIn
+
+SOURCE = Path(__file__).resolve().parents[2] / "src"
+PACKET, READY, CONTROL, EGRESS, UPSTREAM, MESH, STORE = (
+    8172,
+    8167,
+    8166,
+    8162,
+    8165,
+    7720,
+    8169,
+)
+ROUTE_IP = "198.18.0.1"
+REPORT_S = 0.5
+RESTART_S = 0.3
+"""Time until the platform starts a process again."""
+
+
+@dataclass(slots=True)
+class Node:
+    """One program in a process of its own.
+
+    Attributes:
+        disturbed_at: Last moment of an unplanned fault, in seconds.
+        expected: True while its end was asked for.
+    """
+
+    ip: str
+    settings: Path
+    log: Path
+    proxy: StoreProxy
+    process: subprocess.Popen[bytes] | None = None
+    disturbed_at: float = float("-inf")
+    expected: bool = False
+    paused: bool = False
+
+    def start(self) -> None:
+        """Starts the program."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": os.pathsep.join([str(SOURCE), *filter(None, sys.path)]),
+            "BRAMLEYDYKE_SETTINGS": str(self.settings),
+        }
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "bramleydyke.platform"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.expected = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def ended(self) -> bool:
+        """Tells whether the process has ended."""
+        return self.process is None or self.process.poll() is not None
+
+
+@dataclass(slots=True, kw_only=True)
+class World:
+    """All processes and stand-ins of one run.
+
+    Attributes:
+        network: First two numbers of the IP numbers, as ``127.90``.
+        dropped: When each port was last without a route, in seconds.
+        added: When each port last got its route.
+        failures: What broke a promise.
+    """
+
+    reactor: Any
+    network: str
+    folder: Path
+    random_source: random.Random
+    clock: MonotonicClock = field(init=False)
+    store: StoreStandIn = field(init=False)
+    routers: Routers = field(init=False)
+    callers: Callers = field(init=False)
+    store_port: Any = None
+    balancers: dict[str, Node] = field(default_factory=dict)
+    agents: dict[str, Node] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamStandIn] = field(default_factory=dict)
+    drains: dict[str, float] = field(default_factory=dict)
+    routes: dict[int, str] = field(default_factory=dict)
+    added: dict[int, float] = field(default_factory=dict)
+    dropped: dict[int, float] = field(default_factory=dict)
+    store_disturbed_at: float = float("-inf")
+    version: int = 0
+    births: int = 0
+    closed: bool = False
+    failures: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.clock = MonotonicClock(self.reactor)
+        self.store = StoreStandIn(clock=self.clock, random_source=self.random_source)
+        self.routers = Routers(
+            reactor=self.reactor,
+            clock=self.clock,
+            packet_port=PACKET,
+            ready_port=READY,
+        )
+        self.callers = Callers(
+            reactor=self.reactor,
+            clock=self.clock,
+            ip=f"{self.network}.3.1",
+            routers=self.routers,
+        )
+
+    def now(self) -> float:
+        """Returns the time in seconds."""
+        return self.clock.seconds()
+
+    def start(self, routes: dict[int, str], *, balancers: int, upstreams: int) -> None:
+        """Starts everything; upstreams serve the services by turns."""
+        self.store_port = self.store.listen(self.reactor, f"{self.network}.9.1:{STORE}")
+        self.routes = dict(routes)
+        self.configure()
+        self.routers.start()
+        self.callers.start()
+        for number in range(1, balancers + 1):
+            ip = f"{self.network}.1.{number}"
+            self.balancers[ip] = self._node("balancer", ip)
+            self.routers.add(ip)
+        services = sorted(set(routes.values()))
+        for number in range(1, upstreams + 1):
+            ip = f"{self.network}.2.{number}"
+            service = services[number % len(services)]
+            self.agents[ip] = self._node(
+                "agent",
+                ip,
+                egress_endpoint=f"{ip}:{EGRESS}",
+                upstream_endpoint=f"{ip}:{UPSTREAM}",
+                service=service,
+            )
+            self.start_upstream(ip, service)
+        self._supervise()
+
+    def nodes(self) -> list[Node]:
+        """Returns all nodes."""
+        return [*self.balancers.values(), *self.agents.values()]
+
+    def configure(self) -> None:
+        """Writes the routes as the next version of the manifest."""
+        self.version += 2
+        manifest = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": f"r-{port}",
+                    "hostname": ROUTE_IP,
+                    "path_prefix": f"/{port}/",
+                    "service": service,
+                    "priority": 1,
+                }
+                for port, service in self.routes.items()
+            ],
+            "services": [{"name": name} for name in sorted(set(self.routes.values()))],
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+        self.store.put("config", "main", manifest)
+
+    def start_upstream(self, ip: str, service: str) -> UpstreamStandIn:
+        """Starts an upstream of a new lifetime."""
+        self.births += 1
+        upstream = UpstreamStandIn(
+            reactor=self.reactor,
+            clock=self.clock,
+            name=f"i-{self.births}",
+            service=service,
+            zone="z1",
+            endpoint=f"{ip}:{UPSTREAM}",
+            outbound=f"{ip}:{EGRESS}",
+            control=f"{ip}:{CONTROL}",
+            born=time.time_ns() // 1_000_000,
+            report_s=REPORT_S,
+        )
+        upstream.start()
+        self.upstreams[ip] = upstream
+        self.drains.pop(ip, None)
+        return upstream
+
+    def kill(self, node: Node) -> None:
+        """Kills a process; it is started again a moment later."""
+        node.disturbed_at = self.now()
+        node.expected = True
+        node.signal(signal.SIGKILL)
+
+    def terminate(self, node: Node) -> None:
+        """Asks a process to stop; it is started again once it has ended."""
+        node.expected = True
+        node.signal(signal.SIGTERM)
+
+    def pause(self, node: Node, seconds: float) -> None:
+        """Stops a process for some time."""
+        node.disturbed_at = self.now()
+        node.paused = True
+        node.signal(signal.SIGSTOP)
+
+        def resume() -> None:
+            node.paused = False
+            node.disturbed_at = self.now()
+            node.signal(signal.SIGCONT)
+
+        self.later(seconds, resume)
+
+    def later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Calls a function after some time, unless the run is over."""
+        self.clock.callLater(seconds, lambda: self.closed or call())
+
+    def calm(self, *ips: str, for_s: float) -> bool:
+        """Tells whether nodes and the store had no fault for some time."""
+        at = [self.store_disturbed_at]
+        for ip in ips:
+            node = self.balancers.get(ip) or self.agents[ip]
+            at.append(self.now() if node.paused else node.disturbed_at)
+        return self.now() - max(at) > for_s
+
+    def close(self) -> None:
+        """Ends all processes that this run started."""
+        self.closed = True
+        for node in self.nodes():
+            node.expected = True
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGKILL)
+            if node.process is not None:
+                node.process.wait()
+            node.proxy.close()
+        for upstream in self.upstreams.values():
+            if upstream.alive:
+                upstream.stop()
+        self.routers.misses.clear()
+        if self.callers.socket is not None:
+            self.callers.socket.close()
+        if self.store_port is not None:
+            self.store_port.close()
+
+    def _node(self, role: str, ip: str, **fields: Any) -> Node:
+        number = len(self.balancers) + len(self.agents) + 1
+        listen = (f"{self.network}.8.{number}", STORE)
+        proxy = StoreProxy(self.reactor, listen, (f"{self.network}.9.1", STORE))
+        settings = self.folder / f"{ip}.json"
+        document = {
+            "role": role,
+            "node": f"{role}-{ip}",
+            "ip": ip,
+            "availability_zone": "z1",
+            "packet_endpoint": f"{ip}:{PACKET}",
+            "ready_endpoint": f"{ip}:{READY}",
+            "control_endpoint": f"{ip}:{CONTROL}",
+            "mesh_port": MESH,
+            "seed_endpoints": [f"{self.network}.1.1:{CONTROL}"],
+            "store_endpoint": f"{listen[0]}:{STORE}",
+            "report_interval_s": REPORT_S,
+            **fields,
+        }
+        settings.write_text(json.dumps(document))
+        node = Node(ip, settings, self.folder / f"{ip}.log", proxy)
+        node.start()
+        return node
+
+    def _supervise(self) -> None:
+        """Starts processes again; notes those that ended on their own."""
+        for node in self.nodes():
+            if not node.ended():
+                continue
+            if not node.expected:
+                self.failures.append(f"{node.ip} ended on its own")
+            if node.process is not None:
+                node.process = None
+                node.expected = True
+                self.later(RESTART_S, node.start)
+        self.later(0.05, self._supervise)
