Order upstreams of equal weight by their digests

Cause: for each new flow a balancer computed a logarithm for each upstream of the service and looked at the load of each twice.

Change: order_of_equals sorts digests, which rank as the scores of equal weights do; loads are looked at until enough upstreams with room are found.

A test compares the two orders.

--- a/src/bramleydyke/core/rendezvous.py
+++ b/src/bramleydyke/core/rendezvous.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
+from typing import TypeVar
 
 from xxhash import xxh3_64_intdigest
 
@@ -16,6 +17,8 @@
 
 _HASH_SPAN = float(2**64)
 
+Name = TypeVar("Name", bound=Hashable)
+
 
 def score(key: bytes, upstream_id: UpstreamId, weight: float) -> float:
     """Returns the rank value of an upstream for a key; the largest owns it."""
@@ -38,6 +41,22 @@
     )
 
 
+def order_of_equals(key: bytes, names: Mapping[Name, bytes]) -> list[Name]:
+    """Returns the order of upstreams of equal weight, as ``owner_order`` does.
+
+    The scores of equals rank as their digests do, which are cheaper.
+
+    Args:
+        key: Flow key.
+        names: Each upstream's name as bytes.
+    """
+    seed = xxh3_64_intdigest(key)
+    digests = {
+        upstream: xxh3_64_intdigest(name, seed=seed) for upstream, name in names.items()
+    }
+    return sorted(digests, key=digests.__getitem__, reverse=True)
+
+
 def first_usable(
     order: Iterable[UpstreamId], usable: set[UpstreamId]
 ) -> UpstreamId | None:
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import islice
 
 import msgspec
 
-from bramleydyke.core.rendezvous import owner_order
+from bramleydyke.core.rendezvous import order_of_equals
 from bramleydyke.direct.constants import (
     BUSY_DECAY_S,
     DEAD_AGENT_FAILURES,
@@ -18,7 +19,7 @@
 )
 from bramleydyke.direct.messages import Announcement, Load
 from bramleydyke.direct.types import FlowTuple, NodeIp, UpstreamState
-from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
+from bramleydyke.types import AvailabilityZone, ServiceId
 
 
 @dataclass(slots=True)
@@ -56,6 +57,7 @@
     upstream's lifetime and report sequence, never from this process's clock.
 
     Attributes:
+        by_service: Names of a service's upstreams as bytes, for their order.
         complete: True while the store is followed, so that no upstream is
             missing here.
     """
@@ -63,7 +65,7 @@
     zone: AvailabilityZone
     entries: dict[NodeIp, Entry] = field(default_factory=dict)
     complete: bool = False
-    by_service: dict[ServiceId, dict[NodeIp, float]] = field(default_factory=dict)
+    by_service: dict[ServiceId, dict[NodeIp, bytes]] = field(default_factory=dict)
 
     def apply(self, announcement: Announcement, *, now: float, heard: bool) -> bool:
         """Takes an announcement; returns True if it changes what is used.
@@ -97,7 +99,8 @@
         node = announcement.node
         gone_at = now if announcement.state is UpstreamState.GONE else None
         self.entries[node] = Entry(announcement, announcement.load, gone_at=gone_at)
-        self.by_service.setdefault(announcement.service, {})[node] = 1.0
+        names = self.by_service.setdefault(announcement.service, {})
+        names[node] = node.encode()
 
     def removed(self, node: NodeIp, *, now: float) -> bool:
         """Notes that an upstream's entry was removed from the store."""
@@ -163,22 +166,22 @@
 
         The first ``width`` upstreams of the flow's owner order are put in
         order of their load, so that a lookup finds the holder among few.
-        Upstreams that are full, and then those whose agents did not answer,
-        come last.
+        If there are fewer with room, the others follow by their load. Those
+        whose agents did not answer come last.
         """
-        order = self.owners(service, flow)
         ready = [
             node
-            for node in order
+            for node in self.owners(service, flow)
             if self.entries[node].announcement.state is UpstreamState.READY
         ]
-        suspect = [node for node in ready if self.entries[node].suspect_until > now]
-        usable = [node for node in ready if self.entries[node].suspect_until <= now]
-        free = [node for node in usable if self.has_room(node, now=now)]
-        full = [node for node in usable if not self.has_room(node, now=now)]
-        full.sort(key=lambda node: self._requests(node, now))
-        first = sorted(free[:width], key=self._rank)
-        return first + free[width:] + full + suspect
+        usable = [node for node in ready if self.answers(node, now=now)]
+        suspect = [node for node in ready if not self.answers(node, now=now)]
+        free = (node for node in usable if self.has_room(node, now=now))
+        first = sorted(islice(free, width), key=self._rank)
+        rest = [node for node in usable if node not in first]
+        if len(first) < width:
+            rest.sort(key=lambda node: self._requests(node, now))
+        return first + rest + suspect
 
     def least_loaded(self, service: ServiceId, *, now: float) -> NodeIp | None:
         """Returns the upstream with the shortest queue, if one is usable."""
@@ -218,13 +221,12 @@
 
     def owners(self, service: ServiceId, flow: FlowTuple) -> list[NodeIp]:
         """Returns the agents that may hold a flow, the likeliest first."""
-        nodes = self.by_service.get(service, {})
-        weights: dict[UpstreamId, float] = {
-            UpstreamId(node): weight
-            for node, weight in nodes.items()
+        names = self.by_service.get(service, {})
+        return [
+            node
+            for node in order_of_equals(flow, names)
             if self.entries[node].announcement.state is not UpstreamState.GONE
-        }
-        return [NodeIp(node) for node in owner_order(flow, weights)]
+        ]
 
     def lifetime_ended(self, node: NodeIp, lifetime: int) -> bool:
         """Tells whether flows of an upstream's lifetime are surely dead."""
--- a/tests/direct/test_direct_spread.py
+++ b/tests/direct/test_direct_spread.py
@@ -8,6 +8,7 @@
 from codec import flow_tuple
 from network import OTHER, ROUTE, SERVICE, ZONE, routes, system
 
+from bramleydyke.core.rendezvous import order_of_equals, owner_order
 from bramleydyke.direct.constants import ENTRY_EXPIRY_S, FLOW_IDLE_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import Announcement
@@ -220,3 +221,11 @@
     assert not directory.apply(announcement(5, 3, 2), now=0.1, heard=False)
     assert directory.lifetime_ended(NodeIp("10.0.2.0"), 5)
     assert directory.apply(announcement(5, 4, 1), now=9.0, heard=True)
+
+
+def test_the_order_of_equals_is_that_of_the_owners():
+    names = {UpstreamId(f"10.0.2.{number}"): 1.0 for number in range(40)}
+    encoded = {name: name.encode() for name in names}
+    for number in range(200):
+        flow = flow_tuple(number)
+        assert order_of_equals(flow, encoded) == owner_order(flow, names)
