Split admission of new flows from the agent

A read of it found that a flow could be taken from the queue after its upstream's reports had become overdue, and that a first copy for a known flow was handed to a draining upstream.

Change: direct/admission.py decides which flows open; the queue is served only while the upstream takes flows; a first copy is handed over only then. The mutation check follows the moved lines and breaks the protection of open flows too.

Measured: tests of the direct mode and the adapter pass.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -159,14 +159,14 @@
     ),
     Mutation(
         "accept_while_draining",
-        "agent.py",
+        "admission.py",
         "    UpstreamState.DRAINING: ErrorKind.DRAINING,\n",
         "",
         "direct",
     ),
     Mutation(
         "accept_other_service",
-        "agent.py",
+        "admission.py",
         "        if service != self.service:",
         "        if False:",
         "direct",
@@ -187,18 +187,25 @@
     ),
     Mutation(
         "count_requests_for_ever",
-        "agent.py",
+        "admission.py",
         "        self.flows.expire_requests(now=now)\n",
         "",
         "direct",
     ),
     Mutation(
         "accept_without_limit",
-        "agent.py",
+        "admission.py",
         "        return load.requests < REQUESTS_PER_SLOT\n",
         "        return True\n",
         "direct",
     ),
+    Mutation(
+        "late_copy_replaces_an_open_flow",
+        "agent.py",
+        "if packet.copies or not (flow.finished or refused):",
+        "if packet.copies or flow.first_sequence is None:",
+        "direct",
+    ),
     Mutation(
         "stay_silent_after_a_restart",
         "agent.py",
@@ -209,7 +216,7 @@
     Mutation(
         "keep_waiting_flows_while_draining",
         "agent.py",
-        "        self._check_queue(now=now)\n",
+        "        self.admission.check(now=now)\n",
         "",
         "direct",
     ),
--- /dev/null
+++ b/src/bramleydyke/direct/admission.py
@@ -0,0 +1,149 @@
+"""Which new flows open at an upstream, and when.
+
+An upstream gets a bounded number of requests at once. Other flows wait in a
+queue of this process, which can still reorder them and give them back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleydyke.core.timers import Timers
+from bramleydyke.direct.constants import (
+    COLD_FACTOR,
+    REQUESTS_PER_SLOT,
+    UPSTREAM_SILENT_S,
+)
+from bramleydyke.direct.messages import Load, Offer, Queued, Refused
+from bramleydyke.direct.opening_queue import OpeningQueue, WaitingOpening
+from bramleydyke.direct.ports import Count, Send
+from bramleydyke.direct.types import FlowTuple, Packet, UpstreamState
+from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
+from bramleydyke.direct.upstream_view import UpstreamView
+from bramleydyke.errors import ErrorKind, counter_name
+from bramleydyke.types import ServiceId
+
+REFUSALS = {
+    None: ErrorKind.STALE_GENERATION,
+    UpstreamState.DRAINING: ErrorKind.DRAINING,
+    UpstreamState.SILENT: ErrorKind.UPSTREAM_FAILED,
+    UpstreamState.PAUSED: ErrorKind.DRAINING,
+    UpstreamState.GONE: ErrorKind.DRAINING,
+}
+"""Why a new flow is refused in each state that takes none."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Admission:
+    """Admission of new flows at one upstream.
+
+    Attributes:
+        hand_over: Hands a caller's packet to the upstream.
+        pausing: True once this process is about to stop.
+        queue: Opening packets that wait for room at the upstream.
+        unanswered: Flows whose opening packet has no answer yet.
+    """
+
+    service: ServiceId
+    view: UpstreamView
+    flows: UpstreamFlows
+    send: Send
+    hand_over: Callable[[Packet], None]
+    count: Count
+    pausing: bool = False
+    queue: OpeningQueue = field(default_factory=OpeningQueue)
+    unanswered: Timers[FlowTuple] = field(default_factory=Timers)
+
+    def offered(self, opening: WaitingOpening, offer: Offer, *, now: float) -> None:
+        """Opens a flow, keeps its packet for later or refuses it."""
+        flow = opening.packet.flow
+        kind = self.refusal(offer.service, now=now)
+        if kind is not None:
+            self._refuse(opening, kind, now=now)
+        elif self._has_room(now=now):
+            self._open(opening, now=now)
+        elif offer.may_wait or flow in self.queue.waiting:
+            surplus = self.queue.add(opening, now=now)
+            self.send(opening.balancer, Queued(flow, self.load(now=now)))
+            if surplus is not None:
+                self._refuse(surplus, ErrorKind.BUSY, now=now)
+        else:
+            self._refuse(opening, ErrorKind.BUSY, now=now)
+
+    def refusal(self, service: ServiceId, *, now: float) -> ErrorKind | None:
+        """Returns why a new flow may not open at the upstream, if so."""
+        if service != self.service:
+            return ErrorKind.WRONG_SERVICE
+        if self.pausing:
+            return ErrorKind.DRAINING
+        return REFUSALS.get(self.view.state(now=now))
+
+    def load(self, *, now: float) -> Load:
+        """Returns how busy the upstream is, with the flows that wait."""
+        self.flows.expire_requests(now=now)
+        return self.flows.load(
+            self.view.slots, factor=self._factor(now=now), waiting=len(self.queue)
+        )
+
+    def serve(self, *, now: float) -> None:
+        """Opens flows that wait, as far as there is room for them."""
+        if not self.queue or self.refusal(self.service, now=now) is not None:
+            return
+        while self.queue and self._has_room(now=now):
+            self._open(self.queue.pop(), now=now)
+
+    def check(self, *, now: float) -> None:
+        """Gives the waiting flows back if the upstream takes none any more."""
+        kind = self.refusal(self.service, now=now)
+        if kind is not None:
+            for opening in self.queue.clear():
+                self._refuse(opening, kind, now=now)
+
+    def next_wakeup(self) -> float:
+        """Returns when ``wake`` has something to do, in seconds."""
+        times = (self.unanswered.next(), self.queue.timers.next())
+        return min((time for time in times if time is not None), default=float("inf"))
+
+    def wake(self, *, now: float) -> bool:
+        """Does what is due; returns True if the upstream turns out silent."""
+        silent = [
+            flow
+            for flow in self.unanswered.pop_due(now)
+            if (known := self.flows.flows.get(flow)) is not None
+            and known.first_sequence is None
+        ]
+        for flow in silent:
+            self.flows.remove(flow)
+        newly_silent = bool(silent) and not self.view.suspected
+        if newly_silent:
+            self.view.suspected = True
+            self.count(counter_name(ErrorKind.UPSTREAM_FAILED, action="suspected"))
+        self.check(now=now)
+        self.serve(now=now)
+        for opening in self.queue.pop_overdue(now=now):
+            self._refuse(opening, ErrorKind.BUSY, now=now)
+        return newly_silent
+
+    def _open(self, opening: WaitingOpening, *, now: float) -> None:
+        """Hands an opening packet over as a new flow."""
+        flow = opening.packet.flow
+        self.flows.add(flow, UpstreamFlow(opening.balancer, self.view.lifetime, now))
+        self.flows.requested(flow, now=now)
+        self.unanswered.set(flow, now + UPSTREAM_SILENT_S)
+        self.hand_over(opening.packet)
+
+    def _refuse(self, opening: WaitingOpening, kind: ErrorKind, *, now: float) -> None:
+        self.count(counter_name(kind))
+        refused = Refused(opening.packet.flow, kind, self.load(now=now))
+        self.send(opening.balancer, refused)
+
+    def _has_room(self, *, now: float) -> bool:
+        """Tells whether the upstream gets another request now."""
+        self.flows.expire_requests(now=now)
+        load = self.flows.load(self.view.slots, factor=self._factor(now=now))
+        return load.requests < REQUESTS_PER_SLOT
+
+    def _factor(self, *, now: float) -> float:
+        """Returns how much slower than usual the upstream is."""
+        return COLD_FACTOR if self.view.cold(now=now) else 1.0
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -9,14 +9,11 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from bramleydyke.core.timers import Timers
+from bramleydyke.direct.admission import Admission
 from bramleydyke.direct.announcer import Announcer
 from bramleydyke.direct.constants import (
-    COLD_FACTOR,
     FLOW_IDLE_S,
     MAX_PROBES,
-    REQUESTS_PER_SLOT,
-    UPSTREAM_SILENT_S,
 )
 from bramleydyke.direct.messages import (
     Absent,
@@ -24,13 +21,12 @@
     Load,
     Offer,
     Placed,
-    Queued,
     Refused,
     Returned,
     Seek,
     Unsure,
 )
-from bramleydyke.direct.opening_queue import OpeningQueue, WaitingOpening
+from bramleydyke.direct.opening_queue import WaitingOpening
 from bramleydyke.direct.ports import (
     Count,
     Deliver,
@@ -43,22 +39,12 @@
     FlowTuple,
     NodeIp,
     Packet,
-    UpstreamState,
 )
 from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
-REFUSALS = {
-    None: ErrorKind.STALE_GENERATION,
-    UpstreamState.DRAINING: ErrorKind.DRAINING,
-    UpstreamState.SILENT: ErrorKind.UPSTREAM_FAILED,
-    UpstreamState.PAUSED: ErrorKind.DRAINING,
-    UpstreamState.GONE: ErrorKind.DRAINING,
-}
-"""Why a new flow is refused in each state that takes none."""
-
 
 class Probe(NamedTuple):
     """A packet of an unknown flow, handed over to learn of the flow."""
@@ -75,7 +61,7 @@
     Attributes:
         started_at: Start of this process, in seconds.
         probes: Packets whose flows the upstream may hold from earlier.
-        queue: Opening packets that wait for room at the upstream.
+        admission: Decides which new flows open at the upstream, and when.
         announcer: Tells balancers of the upstream.
     """
 
@@ -92,11 +78,18 @@
     record: Record
     flows: UpstreamFlows = field(default_factory=UpstreamFlows)
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
-    unanswered: Timers[FlowTuple] = field(default_factory=Timers)
-    queue: OpeningQueue = field(default_factory=OpeningQueue)
+    admission: Admission = field(init=False)
     announcer: Announcer = field(init=False)
 
     def __post_init__(self) -> None:
+        self.admission = Admission(
+            service=self.service,
+            view=self.view,
+            flows=self.flows,
+            send=self.send,
+            hand_over=self._hand_over,
+            count=self.count,
+        )
         self.announcer = Announcer(
             node=self.node,
             zone=self.zone,
@@ -135,73 +128,18 @@
         flow = self.flows.touch(key, now=now)
         if flow is not None and flow.lifetime == self.view.lifetime:
             # Copies take different ways, so the first one may be the last.
-            if packet.copies or not flow.finished:
+            refused = self.admission.refusal(message.service, now=now)
+            if packet.copies or not (flow.finished or refused):
                 flow.balancer = sender
                 self._hand_over(packet)
                 self._tell_placed(key, flow, now=now)
                 return
         opening = WaitingOpening(sender, packet, message.priority, now - message.age_s)
-        kind = self._refusal(message.service, now=now)
-        if kind is not None:
-            self._refuse(opening, kind, now=now)
-        elif self._has_room(now=now):
-            self._open(opening, now=now)
-        elif message.may_wait or key in self.queue.waiting:
-            surplus = self.queue.add(opening, now=now)
-            self.send(sender, Queued(key, self.load(now=now)))
-            if surplus is not None:
-                self._refuse(surplus, ErrorKind.BUSY, now=now)
-        else:
-            self._refuse(opening, ErrorKind.BUSY, now=now)
-
-    def _open(self, opening: WaitingOpening, *, now: float) -> None:
-        """Hands an opening packet over as a new flow."""
-        key = opening.packet.flow
-        self.flows.add(key, UpstreamFlow(opening.balancer, self.view.lifetime, now))
-        self.flows.requested(key, now=now)
-        self.unanswered.set(key, now + UPSTREAM_SILENT_S)
-        self._hand_over(opening.packet)
-
-    def _refuse(self, opening: WaitingOpening, kind: ErrorKind, *, now: float) -> None:
-        self.count(counter_name(kind))
-        refused = Refused(opening.packet.flow, kind, self.load(now=now))
-        self.send(opening.balancer, refused)
-
-    def _refusal(self, service: ServiceId, *, now: float) -> ErrorKind | None:
-        """Returns why a new flow may not open at the upstream, if so."""
-        if service != self.service:
-            return ErrorKind.WRONG_SERVICE
-        if self.announcer.pausing:
-            return ErrorKind.DRAINING
-        return REFUSALS.get(self.view.state(now=now))
-
-    def _has_room(self, *, now: float) -> bool:
-        """Tells whether the upstream gets another request now."""
-        self.flows.expire_requests(now=now)
-        load = self.flows.load(self.view.slots, factor=self._factor(now=now))
-        return load.requests < REQUESTS_PER_SLOT
-
-    def _serve_queue(self, *, now: float) -> None:
-        """Opens flows that wait, as far as there is room for them."""
-        while self.queue and self._has_room(now=now):
-            self._open(self.queue.pop(), now=now)
-
-    def _check_queue(self, *, now: float) -> None:
-        """Gives the waiting flows back if the upstream takes none any more."""
-        kind = self._refusal(self.service, now=now)
-        if kind is not None:
-            for opening in self.queue.clear():
-                self._refuse(opening, kind, now=now)
+        self.admission.offered(opening, message, now=now)
 
     def load(self, *, now: float) -> Load:
         """Returns how busy the upstream is."""
-        self.flows.expire_requests(now=now)
-        factor = self._factor(now=now)
-        return self.flows.load(self.view.slots, factor=factor, waiting=len(self.queue))
-
-    def _factor(self, *, now: float) -> float:
-        """Returns how much slower than usual the upstream is."""
-        return COLD_FACTOR if self.view.cold(now=now) else 1.0
+        return self.admission.load(now=now)
 
     def _established(
         self, sender: NodeIp, message: Forward, packet: Packet, *, now: float
@@ -300,7 +238,7 @@
             self._bounced(packet, now=now)
         else:
             self._answer(packet, now=now)
-        self._serve_queue(now=now)
+        self.admission.serve(now=now)
 
     def _bounced(self, packet: Packet, *, now: float) -> None:
         """Handles a packet that the upstream gave back."""
@@ -311,7 +249,7 @@
                 self.count("dropped.bounced")
                 return
             self.flows.remove(key)
-            self.unanswered.cancel(key)
+            self.admission.unanswered.cancel(key)
             self.count(counter_name(ErrorKind.QUEUE_FULL))
             refused = Refused(key, ErrorKind.QUEUE_FULL, self.load(now=now))
             self.send(flow.balancer, refused)
@@ -336,7 +274,7 @@
         if flow is None:
             flow = self._learn(key, packet, now=now)
         if packet.accepting:
-            self.unanswered.cancel(key)
+            self.admission.unanswered.cancel(key)
             if not flow.open:
                 flow.first_sequence = packet.sequence
             self._tell_placed(key, flow, now=now)
@@ -399,12 +337,12 @@
 
     def pause(self, *, now: float) -> None:
         """Takes no new flow any more: this process is about to stop."""
-        self.announcer.pausing = True
+        self.admission.pausing = self.announcer.pausing = True
         self.announce(now=now)
 
     def announce(self, *, now: float) -> None:
         """Forgets what is over and tells balancers of the upstream."""
-        self._check_queue(now=now)
+        self.admission.check(now=now)
         self.flows.expire(now=now)
         if len(self.probes) > MAX_PROBES:
             self.probes.clear()
@@ -413,28 +351,14 @@
     def next_wakeup(self) -> float:
         """Returns when ``wake`` has something to do, in seconds."""
         times = (
-            self.unanswered.next(),
-            self.queue.timers.next(),
+            self.admission.next_wakeup(),
             self.announcer.due_at,
         )
         return min(time for time in times if time is not None)
 
     def wake(self, *, now: float) -> None:
-        """Notes unanswered opening packets; announces the upstream."""
-        silent = [
-            key
-            for key in self.unanswered.pop_due(now)
-            if (flow := self.flows.flows.get(key)) is not None
-            and flow.first_sequence is None
-        ]
-        if silent and not self.view.suspected:
-            self.view.suspected = True
-            self.count(counter_name(ErrorKind.UPSTREAM_FAILED, action="suspected"))
+        """Does what is due; announces the upstream."""
+        if self.admission.wake(now=now):
             self.announce(now=now)
-        for key in silent:
-            self.flows.remove(key)
-        self._serve_queue(now=now)
-        for opening in self.queue.pop_overdue(now=now):
-            self._refuse(opening, ErrorKind.BUSY, now=now)
         if now >= self.announcer.due_at:
             self.announce(now=now)
--- a/tests/direct/test_drain.py
+++ b/tests/direct/test_drain.py
@@ -101,12 +101,20 @@
     assert view.state(now=now) is AFTER[before][list(EVENTS).index(event)]
 
 
+def record_messages(agent, sent) -> None:
+    """Collects what an agent sends instead of delivering it."""
+    for part in (agent, agent.announcer, agent.admission):
+        part.send = lambda to, message: sent.append(message)
+
+
 def network_with_agent():
     network = system(11, upstreams=1)
     node = NodeIp("10.0.2.0")
     sent = []
     agent = network.agents[node]
-    agent.send = agent.announcer.send = lambda to, message: sent.append(message)
+    agent.send = agent.announcer.send = agent.admission.send = lambda to, message: (
+        sent.append(message)
+    )
     return network, agent, sent
 
 
@@ -193,7 +201,9 @@
     network, _, _ = network_with_agent()
     agent = network.start_agent("10.0.2.0")
     sent = []
-    agent.send = agent.announcer.send = lambda to, message: sent.append(message)
+    agent.send = agent.announcer.send = agent.admission.send = lambda to, message: (
+        sent.append(message)
+    )
     agent.message_in(NodeIp("10.0.1.0"), opening(number=1), now=network.now)
     assert refusals(sent) == [ErrorKind.STALE_GENERATION]
     agent.view.recall(report(5, 3))
@@ -262,7 +272,7 @@
     agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
     agent.wake(now=network.now + QUEUE_S)
     assert refusals(sent) == [ErrorKind.BUSY]
-    assert not agent.queue
+    assert not agent.admission.queue
 
 
 def test_the_oldest_of_too_many_waiting_flows_goes_back():
@@ -274,7 +284,7 @@
         agent.message_in(NodeIp("10.0.1.0"), waits, now=network.now)
     refused = [message.flow for message in sent if isinstance(message, Refused)]
     assert refused == [flow_tuple(107)]
-    assert len(agent.queue) == MAX_QUEUED
+    assert len(agent.admission.queue) == MAX_QUEUED
 
 
 @pytest.mark.parametrize("how", ["drains", "leaves", "pauses"])
@@ -292,7 +302,7 @@
     else:
         agent.pause(now=network.now)
     assert refusals(sent) == [ErrorKind.DRAINING]
-    assert not agent.queue
+    assert not agent.admission.queue
 
 
 def test_requests_that_never_end_do_not_block_an_upstream_for_ever():
