--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -188,8 +188,8 @@
     Mutation(
         "count_requests_for_ever",
         "admission.py",
-        "        self.flows.expire_requests(now=now)\n",
-        "",
+        'gets another request now."""\n        self.flows.expire_requests(now=now)\n',
+        'gets another request now."""\n',
         "direct",
     ),
     Mutation(
