--- a/src/bramleydyke/adapters/http_client.py
+++ b/src/bramleydyke/adapters/http_client.py
@@ -1,8 +1,11 @@
 """HTTP client for requests to the store and to other nodes.
 
-It keeps connections open for reuse and gives each request its own timeout. It
-parses HTTP with ``h11``, because importing Twisted's web client would double
-the startup time of a process.
+Each request has a connection and a timeout of its own. On a connection that is
+used again, a late copy of an earlier answer would count as the answer to the
+next request: HTTP/1.1 has nothing that tells the two apart.
+
+HTTP is parsed with ``h11``, because importing Twisted's web client would
+double the startup time of a process.
 """
 
 from __future__ import annotations
@@ -24,12 +27,6 @@
 With this limit the caller can retry sooner.
 """
 
-IDLE_CONNECTION_S = 8.0
-"""Maximum idle time after which a connection is still reused."""
-
-MAX_IDLE_CONNECTIONS = 4
-"""Maximum number of idle connections kept open to one endpoint."""
-
 ResponseCallback = Callable[[int | None, bytes], None]
 """Callback for the status code and body of a response.
 
@@ -38,52 +35,41 @@
 
 
 class HttpConnection(Protocol):
-    """A client connection that carries one request at a time.
+    """A client connection that carries a single request.
 
     Attributes:
-        idle: Callback for when the connection is ready for another request.
         lost: Callback for when the connection is closed.
+        head: Request line and headers.
+        request_body: Body of the request, if any.
+        on_response: Callback for the response; None once it was called.
+        timer: Timeout of the request.
         state: State of the HTTP protocol.
-        on_response: Callback of the current request, None if there is none.
-        timer: Timeout of the current request.
-        status: Status code of the current response, 0 before it arrives.
-        body: Parts of the current response body.
+        status: Status code of the response, 0 before it arrives.
+        body: Parts of the response body.
     """
 
     def __init__(
         self,
         *,
-        idle: Callable[[HttpConnection], None],
+        head: h11.Request,
+        request_body: bytes | None,
+        on_response: ResponseCallback,
+        timer: DelayedCall,
         lost: Callable[[HttpConnection], None],
     ) -> None:
-        self.idle = idle
+        self.head = head
+        self.request_body = request_body
+        self.on_response: ResponseCallback | None = on_response
+        self.timer = timer
         self.lost = lost
         self.state = h11.Connection(h11.CLIENT)
-        self.on_response: ResponseCallback | None = None
-        self.timer: DelayedCall | None = None
         self.status = 0
         self.body: list[bytes] = []
 
-    def request(
-        self,
-        head: h11.Request,
-        body: bytes | None,
-        on_response: ResponseCallback,
-        timer: DelayedCall,
-    ) -> None:
-        """Sends a request; the connection must be idle.
-
-        Args:
-            head: Request line and headers.
-            body: Body of the request, if any.
-            on_response: Called once, when the response is complete or the
-                request has failed.
-            timer: Timeout of the request, cancelled when it ends.
-        """
-        self.on_response = on_response
-        self.timer = timer
-        self.body.clear()
-        events = [head] if body is None else [head, h11.Data(data=body)]
+    def connectionMade(self) -> None:  # noqa: N802 - twisted's name
+        """Sends the request."""
+        body = self.request_body
+        events = [self.head] if body is None else [self.head, h11.Data(data=body)]
         data = b"".join(
             self.state.send(event) or b"" for event in [*events, h11.EndOfMessage()]
         )
@@ -98,19 +84,17 @@
             self.abort()
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
-        """Finishes the current request, if any.
+        """Ends the request, if its response is not complete.
 
         The request fails, unless its response has no length: the end of the
         connection then marks the end of the body.
         """
         self.lost(self)
-        if self.status and self._complete_at_close():
-            self._finish(self.status)
-        else:
-            self._finish(None)
+        complete = self.status and self._complete_at_close()
+        self._finish(self.status if complete else None)
 
     def abort(self) -> None:
-        """Resets the connection; the current request fails."""
+        """Resets the connection; the request fails."""
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -122,33 +106,21 @@
             return False
 
     def _read(self) -> None:
-        while True:
+        while self.on_response is not None:
             event = self.state.next_event()
             if isinstance(event, h11.Response):
                 self.status = event.status_code
             elif isinstance(event, h11.Data):
                 self.body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._response_complete()
-                return
+                self.transport.loseConnection()
+                self._finish(self.status)
             else:
                 return
 
-    def _response_complete(self) -> None:
-        status, self.status = self.status, 0
-        reusable = (
-            self.state.our_state is h11.DONE and self.state.their_state is h11.DONE
-        )
-        if reusable:
-            self.state.start_next_cycle()
-            self.idle(self)
-        else:
-            self.transport.loseConnection()
-        self._finish(status)
-
     def _finish(self, status: int | None) -> None:
         on_response, self.on_response = self.on_response, None
-        if self.timer is not None and self.timer.active():
+        if self.timer.active():
             self.timer.cancel()
         if on_response is not None:
             on_response(status, b"".join(self.body))
@@ -175,19 +147,18 @@
 
 
 class HttpClient:
-    """HTTP client with a pool of connections for each endpoint.
+    """HTTP client that opens a connection for each request.
 
     Attributes:
         content_type: ``Content-Type`` of all request bodies.
-        idle_connections: Idle connections by endpoint, each with the time
-            at which it became idle.
+        connections: Open connections.
     """
 
     def __init__(self, *, reactor: Any, clock: Clock, content_type: str) -> None:
         self.reactor = reactor
         self.clock = clock
         self.content_type = content_type
-        self.idle_connections: dict[str, list[tuple[HttpConnection, float]]] = {}
+        self.connections: set[HttpConnection] = set()
 
     def request(
         self,
@@ -199,10 +170,7 @@
         on_response: ResponseCallback,
         body: bytes | None = None,
     ) -> None:
-        """Sends a request on an idle or new connection.
-
-        A timeout closes the connection, because its peer may not be reachable
-        any more.
+        """Sends a request.
 
         Args:
             method: HTTP method.
@@ -213,75 +181,33 @@
             on_response: Called exactly once, with the response or with None.
             body: Body of the request, if any.
         """
-        headers = [("Host", endpoint)]
+        address = parse_endpoint(endpoint)
+        if address is None:
+            on_response(None, b"")
+            return
+        headers = [("Host", endpoint), ("Connection", "close")]
         if body is not None:
             headers += [
                 ("Content-Type", self.content_type),
                 ("Content-Length", str(len(body))),
             ]
         head = h11.Request(method=method, target=target, headers=headers)
-        reused = self._idle_connection(endpoint)
-        if reused is not None:
-            timer = self.clock.callLater(timeout_s, reused.abort)
-            reused.request(head, body, on_response, timer)
-            return
-        self._connect(endpoint, head, body, timeout_s, on_response)
-
-    def close(self) -> None:
-        """Closes all idle connections."""
-        for connections in self.idle_connections.values():
-            for connection, _ in connections:
-                connection.abort()
-        self.idle_connections.clear()
-
-    def _idle_connection(self, endpoint: str) -> HttpConnection | None:
-        """Returns an idle connection to an endpoint, or None.
-
-        Connections that have been idle for too long are closed, because the
-        server may have closed them.
-        """
-        oldest = self.clock.seconds() - IDLE_CONNECTION_S
-        connections = self.idle_connections.get(endpoint, [])
-        while connections:
-            connection, since = connections.pop()
-            if since >= oldest:
-                return connection
-            connection.abort()
-        return None
-
-    def _connect(
-        self,
-        endpoint: str,
-        head: h11.Request,
-        body: bytes | None,
-        timeout_s: float,
-        on_response: ResponseCallback,
-    ) -> None:
-        address = parse_endpoint(endpoint)
-        if address is None:
-            on_response(None, b"")
-            return
-
-        def idle(connection: HttpConnection) -> None:
-            waiting = self.idle_connections.setdefault(endpoint, [])
-            if len(waiting) < MAX_IDLE_CONNECTIONS:
-                waiting.append((connection, self.clock.seconds()))
-            else:
-                connection.abort()
-
-        def lost(connection: HttpConnection) -> None:
-            waiting = self.idle_connections.get(endpoint, [])
-            self.idle_connections[endpoint] = [
-                one for one in waiting if one[0] is not connection
-            ]
 
         def connected() -> HttpConnection:
-            connection = HttpConnection(idle=idle, lost=lost)
-            timer = self.clock.callLater(timeout_s, connection.abort)
-            connection.connectionMade = lambda: connection.request(  # type: ignore[method-assign]
-                head, body, on_response, timer
+            connection = HttpConnection(
+                head=head,
+                request_body=body,
+                on_response=on_response,
+                timer=self.clock.callLater(timeout_s, lambda: connection.abort()),
+                lost=self.connections.discard,
             )
+            self.connections.add(connection)
             return connection
 
         connect = _ConnectionFactory(connected, lambda: on_response(None, b""))
         self.reactor.connectTCP(*address, connect, timeout=CONNECT_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Resets all connections; their requests fail."""
+        for connection in list(self.connections):
+            connection.abort()
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
 
 from bramleydyke.adapters.clock import MonotonicClock
@@ -58,7 +59,7 @@
     )
 
 
-def test_calls_reuse_a_connection(server):
+def test_each_call_has_a_connection_of_its_own(server):
     endpoint, _ = server
     client = calls()
     seen = []
@@ -73,8 +74,45 @@
         )
         run_until(lambda count=number + 1: len(seen) == count)
     assert seen == [(200, b"PUT /x%d?a=1 body" % n) for n in range(3)]
-    assert len(client.idle_connections[endpoint]) == 1
+    run_until(lambda: not client.connections)
+
+
+class AnswersTwice(Protocol):
+    """Answers each request, and once more before the next one's answer."""
+
+    last_answer = b""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        target = data.split(b" ", 2)[1]
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+        late_copy, self.last_answer = self.last_answer, answer % (len(target), target)
+        self.transport.write(late_copy + self.last_answer)
+
+
+def test_a_late_copy_of_an_answer_never_answers_another_call():
+    """Guards against a write that counts as stored because of a read.
+
+    A server sends an answer a second time, when the connection carries the
+    next request. HTTP has no request numbers that would tell the two apart.
+    """
+    environment()
+    factory = Factory.forProtocol(AnswersTwice)
+    listener = reactor.listenTCP(0, factory, interface="127.0.0.1")
+    endpoint = f"127.0.0.1:{listener.getHost().port}"
+    client = calls()
+    seen = []
+    for number, target in enumerate(("/first", "/second", "/third"), start=1):
+        client.request(
+            "GET",
+            endpoint,
+            target,
+            timeout_s=5.0,
+            on_response=lambda _, body: seen.append(body),
+        )
+        run_until(lambda count=number: len(seen) == count)
+    listener.stopListening()
     client.close()
+    assert seen == [b"/first", b"/second", b"/third"]
 
 
 def test_an_answer_may_come_later(server):
