--- a/src/bramleydyke/adapters/clock.py
+++ b/src/bramleydyke/adapters/clock.py
@@ -1,4 +1,4 @@
-"""Clock of a running process: monotonic time and the reactor's timers."""
+"""Clock of a running process: steady time and the reactor's timers."""
 
 from __future__ import annotations
 
@@ -10,6 +10,16 @@
 from bramleydyke.ports import DelayedCall
 
 
+def steady_seconds() -> float:
+    """Returns the time since the machine's boot, in seconds.
+
+    It counts the time for which the machine was suspended, which
+    ``time.monotonic`` leaves out. A lease or a belief that ran out meanwhile
+    would look valid.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(frozen=True, slots=True)
 class MonotonicClock:
     """Implements the ``Clock`` port on a Twisted reactor.
@@ -21,8 +31,8 @@
     reactor: Any
 
     def seconds(self) -> float:
-        """Returns the monotonic time in seconds."""
-        return time.monotonic()
+        """Returns the steady time in seconds."""
+        return steady_seconds()
 
     def callLater(  # noqa: N802 - name given by twisted
         self, delay: float, call: Callable[..., object], *args: Any, **kwargs: Any
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -6,14 +6,13 @@
 import random
 import signal
 import socket
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
 
 import msgspec
 
-from bramleydyke.adapters.clock import MonotonicClock
+from bramleydyke.adapters.clock import MonotonicClock, steady_seconds
 from bramleydyke.adapters.early_sockets import EarlySockets
 from bramleydyke.adapters.event_log import EventLog, LineWriter
 from bramleydyke.adapters.http_server import (
@@ -55,7 +54,7 @@
     def next_wakeup(self) -> float | None:
         """Returns the time at which ``wake`` is due; None without a timer.
 
-        The time is in seconds of the node's monotonic clock.
+        The time is in seconds of the node's clock.
         """
 
     def wake(self, *, now: float) -> None:
@@ -334,7 +333,7 @@
 
     reactor: Any = any_reactor
     # By default the reactor uses the wall clock, which may jump.
-    reactor.seconds = time.monotonic
+    reactor.seconds = steady_seconds
     node = new_node(reactor)
     with node.log_writer.applicationbound():
         node.start()
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -123,6 +123,7 @@
             record=self.log.record,
             on_listed=self._start_packets_when_known,
         )
+        self.role.on_resumed = self.registry.resumed
         self.entry_writer = EntryWriter(
             kind=Kind.BALANCERS,
             name=own_ip,
--- a/src/bramleydyke/direct/admission.py
+++ b/src/bramleydyke/direct/admission.py
@@ -135,9 +135,10 @@
             self.view.suspected = True
             self.count(counter_name(ErrorKind.UPSTREAM_FAILED, action="suspected"))
         self.check_queue(now=now)
-        self.open_queued(now=now)
+        # After a pause, all flows that were queued before it are overdue.
         for opening in self.queue.pop_overdue(now=now):
             self._refuse(opening, ErrorKind.BUSY, now=now)
+        self.open_queued(now=now)
         return newly_silent
 
     def _open(self, opening: WaitingOpening, *, now: float) -> None:
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bramleydyke.direct.constants import MAX_CONFIG_AGE_S, REQUESTS_PER_SLOT
+from bramleydyke.direct.constants import (
+    MAX_CONFIG_AGE_S,
+    MAX_PAUSE_S,
+    REQUESTS_PER_SLOT,
+)
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.gossip import Gossip
 from bramleydyke.direct.holders import Holders
@@ -49,6 +54,9 @@
         send: Sends a message to another node.
         reset: Sends a reset to the caller of a packet.
         holders: Agents that hold the flows seen by this process.
+        on_resumed: Called after a pause of this process.
+        active_at: Time of the last packet, message or timer, in seconds; None
+            before the first one.
         openings: Offers opening packets to agents.
         lookups: Searches for the holders of unknown flows.
     """
@@ -64,6 +72,8 @@
     record: Record
     observe: Observe
     holders: Holders = field(default_factory=Holders)
+    on_resumed: Callable[[], None] = lambda: None
+    active_at: float | None = None
     openings: Openings = field(init=False)
     lookups: Lookups = field(init=False)
 
@@ -91,6 +101,7 @@
         Datagrams that are malformed, or that only an upstream sends, are
         counted and dropped.
         """
+        self._detect_pause(now=now)
         packet = self.codec.from_caller(datagram)
         if packet is None or packet.accepting:
             self.count(counter_name(ErrorKind.BAD_FRAME))
@@ -108,6 +119,7 @@
 
         An agent's announcement must name the agent itself.
         """
+        self._detect_pause(now=now)
         match message:
             case Placed():
                 self.openings.placed(sender, message, now=now)
@@ -142,10 +154,28 @@
 
     def wake(self, *, now: float) -> None:
         """Handles all timers that are due."""
+        self._detect_pause(now=now)
         self.openings.wake(now=now)
         self.lookups.wake(now=now)
         self.gossip.wake(now=now)
 
+    def _detect_pause(self, *, now: float) -> None:
+        """Discards beliefs that a pause of this process has made too old.
+
+        Meanwhile upstreams may have joined and the configuration may have
+        changed. Until both are read again, no flow is reset because no known
+        agent holds it or because it has no route.
+        """
+        paused_s = 0.0 if self.active_at is None else now - self.active_at
+        self.active_at = now
+        if paused_s <= MAX_PAUSE_S:
+            return
+        self.count("paused")
+        self.record("resumed", paused_s=round(paused_s, 3))
+        self.directory.complete = False
+        self.routes.doubt()
+        self.on_resumed()
+
     def next_wakeup(self) -> float | None:
         """Returns when ``wake`` must be called next, in seconds."""
         times = (
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -226,6 +226,12 @@
 watch may miss changes for a second, and changes must be in force after 3 s.
 """
 
+MAX_PAUSE_S = 1.0
+"""Time without any event after which a balancer counts as having been paused.
+
+Its timers are due every ``NOTICE_INTERVAL_S``.
+"""
+
 # Store.
 
 STORE_TIMEOUT_S = 1.5
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from bramleydyke.core.retry import backoff
 from bramleydyke.direct.constants import (
@@ -33,8 +34,10 @@
     without delivering a change, so polls can run in parallel to it.
 
     Attributes:
-        listed: Called with each full listing of the objects.
-        changed: Called with the changes returned by each watch or poll.
+        listed: Called with each full listing of the objects and with the time
+            of the call, in seconds. The answer may have been read much later.
+        changed: Called with the changes returned by each watch or poll, and
+            with the time of the call.
         poll_s: Returns the interval of the polls in seconds; None to disable
             polls.
         pause_s: Seconds to wait after changes before the next watch, which
@@ -51,8 +54,8 @@
     store: Store
     clock: Clock
     random_source: random.Random
-    listed: Callable[[Listing], None]
-    changed: Callable[[Changes], None]
+    listed: Callable[[Listing, float], None]
+    changed: Callable[[Changes, float], None]
     count: Count
     record: Record
     poll_s: Callable[[], float] | None = None
@@ -76,29 +79,35 @@
 
     def _list(self) -> None:
         if not self.stopped:
-            self.store.list(self.kind, self._on_list)
+            called_at = self.clock.seconds()
+            self.store.list(self.kind, partial(self._on_list, called_at))
 
-    def _on_list(self, status: CallStatus, listing: Listing | None) -> None:
+    def _on_list(
+        self, called_at: float, status: CallStatus, listing: Listing | None
+    ) -> None:
         if self.stopped:
             return
         if status is not CallStatus.OK or listing is None:
             self._retry(status)
             return
         self._regained()
-        self.listed(listing)
+        self.listed(listing, called_at)
         self._watch(listing.revision)
 
     def _watch(self, revision: Revision) -> None:
         self.revision = max(self.revision, revision)
         if not self.stopped:
-            self.store.watch(self.kind, revision, WATCH_WAIT_S, self._on_watch)
+            on_watch = partial(self._on_watch, self.clock.seconds())
+            self.store.watch(self.kind, revision, WATCH_WAIT_S, on_watch)
 
-    def _on_watch(self, status: CallStatus, changes: Changes | None) -> None:
+    def _on_watch(
+        self, called_at: float, status: CallStatus, changes: Changes | None
+    ) -> None:
         if self.stopped:
             return
         if status is CallStatus.OK and changes is not None:
             self._regained()
-            self.changed(changes)
+            self.changed(changes, called_at)
             if self.pause_s and changes.changes:
                 self.clock.callLater(self.pause_s, self._watch, changes.revision)
             else:
@@ -143,22 +152,33 @@
             return
         self.polls += 1
         if self.polls % POLLS_PER_FULL_POLL:
-            self.store.watch(self.kind, self.revision, 0.0, self._on_poll)
+            on_poll = partial(self._on_poll, self.clock.seconds())
+            self.store.watch(self.kind, self.revision, 0.0, on_poll)
         else:
-            self.store.list(self.kind, self._on_full_poll)
+            self.poll_all()
 
-    def _on_poll(self, status: CallStatus, changes: Changes | None) -> None:
+    def poll_all(self) -> None:
+        """Lists all objects, beside the watch."""
+        if not self.stopped and not self.lost:
+            on_full_poll = partial(self._on_full_poll, self.clock.seconds())
+            self.store.list(self.kind, on_full_poll)
+
+    def _on_poll(
+        self, called_at: float, status: CallStatus, changes: Changes | None
+    ) -> None:
         """Handles the answer to a poll: changes after ``revision``."""
         if self.stopped:
             return
         if status is CallStatus.HISTORY_GONE:
-            self.store.list(self.kind, self._on_full_poll)
+            self.poll_all()
         elif status is CallStatus.OK and changes is not None:
             self.revision = max(self.revision, changes.revision)
-            self.changed(changes)
+            self.changed(changes, called_at)
 
-    def _on_full_poll(self, status: CallStatus, listing: Listing | None) -> None:
+    def _on_full_poll(
+        self, called_at: float, status: CallStatus, listing: Listing | None
+    ) -> None:
         """Handles the answer to a full poll, which lists all objects."""
         if not self.stopped and status is CallStatus.OK and listing is not None:
             self.revision = max(self.revision, listing.revision)
-            self.listed(listing)
+            self.listed(listing, called_at)
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -48,6 +48,7 @@
         watches: Watches of the configuration and the upstreams.
         listed: Lifetime in the stored entry of each agent that has one; 0 if
             the entry is unreadable.
+        resumed_at: End of the last pause of this process, in seconds.
     """
 
     store: Store
@@ -63,6 +64,7 @@
     watches: list[KindWatch] = field(default_factory=list)
     stopped: bool = False
     listed: dict[NodeIp, Lifetime] = field(default_factory=dict)
+    resumed_at: float = float("-inf")
 
     def start(self) -> None:
         """Starts the watches, the lists of balancers and entry expiry."""
@@ -93,6 +95,12 @@
         for watch in self.watches:
             watch.stop()
 
+    def resumed(self) -> None:
+        """Reads everything again after a pause of this process."""
+        self.resumed_at = self.clock.seconds()
+        for watch in self.watches:
+            watch.poll_all()
+
     def poll_interval_s(self) -> float:
         """Returns the interval of this balancer's configuration polls.
 
@@ -127,8 +135,8 @@
     def _watch(
         self,
         kind: Kind,
-        listed: Callable[[Listing], None],
-        changed: Callable[[Changes], None],
+        listed: Callable[[Listing, float], None],
+        changed: Callable[[Changes, float], None],
         *,
         poll_s: Callable[[], float] | None = None,
         on_lost: Callable[[], None] = lambda: None,
@@ -150,17 +158,17 @@
 
     # Configuration.
 
-    def _routes_listed(self, listing: Listing) -> None:
+    def _routes_listed(self, listing: Listing, called_at: float) -> None:
         for stored in listing.objects:
             self._apply_stored_routes(stored)
-        self.routes.confirm(now=self.clock.seconds())
+        self.routes.confirm(now=called_at)
         self.on_listed()
 
-    def _routes_changed(self, changes: Changes) -> None:
+    def _routes_changed(self, changes: Changes, called_at: float) -> None:
         for change in changes.changes:
             if not change.removed:
                 self._apply_stored_routes(change.object)
-        self.routes.confirm(now=self.clock.seconds())
+        self.routes.confirm(now=called_at)
 
     def _apply_stored_routes(self, stored: StoredObject) -> None:
         if isinstance(stored.value, RouteSet):
@@ -168,19 +176,20 @@
 
     # Upstreams.
 
-    def _upstreams_listed(self, listing: Listing) -> None:
+    def _upstreams_listed(self, listing: Listing, called_at: float) -> None:
         earlier, self.listed = self.listed, {}
         for stored in listing.objects:
             self._apply_stored_upstream(stored)
         for node in earlier.keys() - self.listed.keys():
             self._entry_removed(node, earlier[node])
-        self.directory.complete = True
+        # A listing from before a pause lacks upstreams that joined during it.
+        self.directory.complete = called_at >= self.resumed_at
         self.on_listed()
 
     def _upstreams_lost(self) -> None:
         self.directory.complete = False
 
-    def _upstreams_changed(self, changes: Changes) -> None:
+    def _upstreams_changed(self, changes: Changes, called_at: float) -> None:
         for change in changes.changes:
             if change.removed:
                 node = NodeIp(change.object.name)
--- a/src/bramleydyke/direct/routes.py
+++ b/src/bramleydyke/direct/routes.py
@@ -93,8 +93,12 @@
         return True
 
     def confirm(self, *, now: float) -> None:
-        """Records that the store has no newer configuration at this time."""
-        self.confirmed_at = now
+        """Records that the store had no newer configuration at this time."""
+        self.confirmed_at = max(self.confirmed_at, now)
+
+    def doubt(self) -> None:
+        """Discards the store's confirmation, after a pause of this process."""
+        self.confirmed_at = float("-inf")
 
     def find(self, address: RouteAddress) -> Route | None:
         """Returns the route of an address, or None if there is none."""
--- a/tests/direct/test_registry.py
+++ b/tests/direct/test_registry.py
@@ -92,7 +92,7 @@
     registry.start()
     watch = registry.watches[1]
     objects = [stored(announcement(node, 5)) for node in (GONE, ALIVE)]
-    watch.listed(Listing(objects, Revision(7)))
+    watch.listed(Listing(objects, Revision(7)), clock.seconds())
     return registry
 
 
@@ -103,14 +103,14 @@
 def removals_as_changes(registry: Registry, *nodes: NodeIp) -> None:
     """Reports removals of entries as the watch of the store does."""
     changes = [Change(StoredObject(n, Revision(8), None), True) for n in nodes]
-    registry.watches[1].changed(Changes(changes, Revision(8)))
+    registry.watches[1].changed(Changes(changes, Revision(8)), registry.clock.seconds())
 
 
 def removals_as_listing(registry: Registry, *nodes: NodeIp) -> None:
     """Reports removals by a listing that lacks the entries."""
     kept = [n for n in registry.directory.entries if n not in nodes]
     objects = [stored(announcement(node, 5)) for node in kept]
-    registry.watches[1].listed(Listing(objects, Revision(8)))
+    registry.watches[1].listed(Listing(objects, Revision(8)), registry.clock.seconds())
 
 
 both_paths = pytest.mark.parametrize(
@@ -187,3 +187,40 @@
     assert 60 <= mine <= 140
     gossip.peers.clear()
     assert all(gossip.is_responsible_for(node, now=0.0) for node in nodes)
+
+
+def test_a_listing_from_before_a_pause_does_not_complete_the_directory():
+    """The call was answered before the pause and its answer read after it.
+
+    Upstreams that joined during the pause are missing from the answer.
+    """
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    called_at = clock.seconds()
+    clock.advance(5.0)
+    registry.directory.complete = False
+    registry.resumed()
+    listing = Listing([stored(announcement(ALIVE, 5))], Revision(9))
+    registry.watches[1].listed(listing, called_at)
+    assert not registry.directory.complete
+    registry.watches[1].listed(listing, clock.seconds())
+    assert registry.directory.complete
+
+
+def test_all_kinds_are_read_again_after_a_pause():
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    kinds = []
+    store.list = lambda kind, reply, *, stale=False: kinds.append(kind)
+    registry.resumed()
+    assert kinds == [Kind.CONFIGURATION, Kind.UPSTREAMS]
+
+
+def test_a_confirmation_is_as_old_as_the_call():
+    """An answer may be read long after it was sent, for example by a pause."""
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    called_at = clock.seconds()
+    clock.advance(5.0)
+    registry.watches[0].changed(Changes([], Revision(8)), called_at)
+    assert registry.routes.confirmed_at == called_at
