--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -210,8 +210,13 @@
         """
         holder = self.holders.find(packet.flow, packet.acknowledged)
         if holder is None:
-            services = self.routes.holders(packet.route)
-            self.lookups.packet_in(packet, services, now=now)
+            route = self.routes.find(packet.route)
+            self.lookups.packet_in(
+                packet,
+                self.routes.holders(packet.route),
+                now=now,
+                timeout_s=0.0 if route is None else route.timeout_s,
+            )
             return
         if self.directory.lifetime_ended(holder.node, holder.lifetime):
             self.holders.forget(packet.flow)
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -120,9 +120,13 @@
 PARK_S = 1.2
 """Maximum age of an opening packet that no upstream accepted.
 
-The flow is then refused. Callers give up after 1.4 s.
+The flow is then refused. Callers give up after 1.4 s, or after the timeout of
+their route if that is shorter.
 """
 
+OPENING_COPY_AGES_S = (0.0, 0.2, 0.6)
+"""Age of an opening packet and of its retransmissions when they are sent."""
+
 PARK_RETRY_S = 0.1
 """Interval at which a balancer offers a parked packet to agents again."""
 
@@ -174,10 +178,17 @@
 """Maximum of ``SUSPECT_S`` after doubling."""
 
 DEAD_AGENT_S = 4.0
-"""Silence after which an agent is considered dead and its flows lost.
+"""Minimum silence after which an agent is considered dead and its flows lost.
 
 An agent restarts within two seconds and announces its upstream when it
-receives the next report.
+receives the next report. For routes with a longer timeout, the silence must
+last as long: requests may still be running until then.
+"""
+
+MIN_ANSWERED_SHARE = 0.5
+"""Share of the asked agents that must answer before a flow is reset.
+
+With fewer, this balancer is more likely cut off than all of them dead.
 """
 
 DEAD_AGENT_FAILURES = 2
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -183,15 +183,21 @@
                 entry.suspicions += 1
                 entry.suspect_until = now + pause
 
-    def is_dead(self, node: NodeIp, *, now: float) -> bool:
+    def is_dead(
+        self, node: NodeIp, *, now: float, after_s: float = DEAD_AGENT_S
+    ) -> bool:
         """Returns whether an agent is unknown or has been silent for too long.
 
-        The time limit, ``DEAD_AGENT_S``, is longer than a restart takes.
+        Args:
+            node: IP address of the agent.
+            now: Time in seconds.
+            after_s: Silence in seconds that is too long. The default is longer
+                than a restart takes.
         """
         entry = self.entries.get(node)
         if entry is None:
             return True
-        silent = now - entry.failing_since > DEAD_AGENT_S
+        silent = now - entry.failing_since > after_s
         return silent and entry.failures >= DEAD_AGENT_FAILURES
 
     def refused(self, node: NodeIp, *, now: float) -> None:
--- a/src/bramleydyke/direct/lookups.py
+++ b/src/bramleydyke/direct/lookups.py
@@ -21,6 +21,7 @@
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.constants import (
     CANDIDATES,
+    DEAD_AGENT_S,
     LOOKUP_BATCH_S,
     LOOKUP_LAST_STAGE_S,
     LOOKUP_STAGE_S,
@@ -29,6 +30,7 @@
     MAX_HELD_PACKETS,
     MAX_LOOKUP_AGENTS,
     MAX_SINGLE_STAGE_AGENTS,
+    MIN_ANSWERED_SHARE,
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import Forward, HolderQuery
@@ -55,6 +57,7 @@
         to_probe: Agents that need a probe to answer and got none yet.
         services: Service of each agent that has been asked.
         held: Packets that arrived during the lookup.
+        patience_s: Silence in seconds after which an agent counts as dead.
         partial: True if there are too many agents to ask all of them.
         probed: True once ``packet`` was sent as a probe, so that the holder
             already has the packet.
@@ -66,6 +69,7 @@
     to_probe: list[AgentService] = field(default_factory=list)
     services: dict[NodeIp, ServiceId] = field(default_factory=dict)
     held: list[Packet] = field(default_factory=list)
+    patience_s: float = DEAD_AGENT_S
     partial: bool = False
     probed: bool = False
 
@@ -96,7 +100,12 @@
     collect_until: float = 0.0
 
     def packet_in(
-        self, packet: Packet, services: list[ServiceId], *, now: float
+        self,
+        packet: Packet,
+        services: list[ServiceId],
+        *,
+        now: float,
+        timeout_s: float = 0.0,
     ) -> None:
         """Starts a lookup, or holds the packet if one is already running.
 
@@ -104,6 +113,8 @@
             packet: Packet of a flow whose holder is not known.
             services: Services that may hold the flow, the likeliest first.
             now: Time in seconds.
+            timeout_s: Timeout of the flow's route. Until it has passed, an
+                agent that is only silent may still have the flow's request.
         """
         lookup = self.waiting.get(packet.flow)
         if lookup is not None:
@@ -114,6 +125,7 @@
             return
         self.count("lookups")
         lookup = self._new_lookup(packet, services)
+        lookup.patience_s = max(DEAD_AGENT_S, timeout_s)
         self.waiting[packet.flow] = lookup
         self._next_stage(packet.flow, lookup, now=now)
 
@@ -183,7 +195,10 @@
         for node in lookup.pending_agents:
             self.directory.mark_suspect(node, now=now)
         unknown = self._unanswered(lookup, now=now) or lookup.to_probe
-        dead = self.directory.complete and not unknown and not lookup.partial
+        answered = len(lookup.services) - len(lookup.pending_agents)
+        isolated = answered < MIN_ANSWERED_SHARE * len(lookup.services)
+        certain = self.directory.complete and not lookup.partial and not isolated
+        dead = certain and not unknown
         action = "reset" if dead else "dropped"
         self.count(counter_name(ErrorKind.FLOW_SILENT, action=action))
         self.record(
@@ -280,5 +295,7 @@
     def _unanswered(self, lookup: Lookup, *, now: float) -> list[NodeIp]:
         """Returns the pending agents that are not considered dead."""
         return [
-            n for n in lookup.pending_agents if not self.directory.is_dead(n, now=now)
+            node
+            for node in lookup.pending_agents
+            if not self.directory.is_dead(node, now=now, after_s=lookup.patience_s)
         ]
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -10,6 +10,7 @@
     MAX_BUSY_ANSWERS,
     MAX_OPENING_TRIES,
     MAX_PARKED,
+    OPENING_COPY_AGES_S,
     PARK_RETRY_S,
     PARK_S,
     QUEUE_S,
@@ -36,7 +37,8 @@
         candidates: Agents that may be offered the packet, best first.
         deadline: Time at which the flow is refused, in seconds.
         priority: Priority of the flow's route; 0 is the most urgent.
-        arrived_at: When the packet reached this balancer, in seconds.
+        arrived_at: When the original packet arrived, in seconds. For a
+            retransmission this is an estimate.
         asked: Agents that were offered the packet, in order of the offers.
         asked_at: When the last agent was asked, in seconds; None once an
             answer has arrived.
@@ -54,6 +56,12 @@
     busy_answers: int = 0
 
 
+def opening_age_s(packet: Packet) -> float:
+    """Returns how long the caller of an opening packet has been waiting."""
+    copies = min(packet.copies, len(OPENING_COPY_AGES_S) - 1)
+    return OPENING_COPY_AGES_S[copies]
+
+
 @dataclass(slots=True, kw_only=True)
 class Openings:
     """Offers opening packets to agents until one of them accepts the flow.
@@ -105,7 +113,12 @@
             self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
             return
         avoid = None if holder is None else holder.node
-        opening = Opening(packet, service, [], now + PARK_S, route.priority, now)
+        arrived_at = now - opening_age_s(packet)
+        deadline = arrived_at + min(PARK_S, route.timeout_s or PARK_S)
+        opening = Opening(packet, service, [], deadline, route.priority, arrived_at)
+        if now >= deadline:
+            self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
+            return
         self._place(opening, now=now, avoid=avoid)
 
     def _place(
--- a/src/bramleydyke/direct/routes.py
+++ b/src/bramleydyke/direct/routes.py
@@ -26,6 +26,9 @@
     priority: int = 0
     """Priority of the route's flows; 0 is the most urgent."""
 
+    timeout_s: float = 0.0
+    """Time after which callers of the route give up; 0 if unknown."""
+
 
 class RouteSet(msgspec.Struct, array_like=True, frozen=True):
     """One version of the configuration, as stored and exchanged."""
--- a/src/bramleydyke/platform/manifest.py
+++ b/src/bramleydyke/platform/manifest.py
@@ -26,6 +26,7 @@
     service: str | None = None
     traffic_split: list[_WeightedService] | None = None
     priority: int = 0
+    timeout_ms: float = 0.0
 
 
 class _Manifest(msgspec.Struct):
@@ -62,7 +63,9 @@
     manifest = msgspec.json.decode(body, type=_Manifest)
     try:
         routes = {
-            _route_address(route): Route(_route_shares(route), route.priority)
+            _route_address(route): Route(
+                _route_shares(route), route.priority, route.timeout_ms / 1_000
+            )
             for route in manifest.routes
         }
     except (OSError, OverflowError) as error:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -31,6 +31,7 @@
             "path_prefix": "/8443/",
             "service": "board",
             "priority": 2,
+            "timeout_ms": 800,
             "route_type": "safe",
         },
         {
@@ -103,7 +104,7 @@
     assert routes.version == 31
     host = bytes((198, 18, 5, 2))
     assert routes.routes == {
-        host + (8_443).to_bytes(2, "big"): Route([Share("board", 1.0)], 2),
+        host + (8_443).to_bytes(2, "big"): Route([Share("board", 1.0)], 2, 0.8),
         host + (80).to_bytes(2, "big"): Route(
             [Share("board", 90.0), Share("vault", 10.0)], 1
         ),
