--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -17,6 +17,7 @@
     MAX_PROBES,
 )
 from bramleydyke.direct.messages import (
+    Announcement,
     Forward,
     HolderQuery,
     Load,
@@ -25,6 +26,7 @@
     Placed,
     ProbeNeeded,
     Refused,
+    Relayed,
     Returned,
 )
 from bramleydyke.direct.opening_queue import WaitingOpening
@@ -40,6 +42,7 @@
     FlowTuple,
     NodeIp,
     Packet,
+    UpstreamState,
 )
 from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
 from bramleydyke.direct.upstream_view import Report, UpstreamView
@@ -130,9 +133,39 @@
                     self._offered(sender, message, packet, now=now)
                 else:
                     self._established(sender, message, packet, now=now)
+            case Relayed() if message.announcement.node == self.node:
+                self._reminded(message.announcement, now=now)
             case _:
                 self.count(counter_name(ErrorKind.BAD_FRAME))
 
+    def _reminded(self, announced: Announcement, *, now: float) -> None:
+        """Adopts what the earlier process of this agent had announced.
+
+        Ignored once the upstream has reported to this process.
+        """
+        stored = self.view.stored_report
+        if self.view.report is not None or announced.service != self.service:
+            return
+        if stored is not None and announced.lifetime < stored.lifetime:
+            return
+        self.record(
+            "state_recalled",
+            upstream=announced.upstream,
+            state=announced.state.value,
+            lifetime=announced.lifetime,
+            sequence=announced.sequence,
+        )
+        report = Report(
+            upstream=announced.upstream,
+            service=announced.service,
+            lifetime=announced.lifetime,
+            sequence=announced.sequence,
+            draining=announced.state is not UpstreamState.READY,
+            slots=announced.slots,
+        )
+        self.view.restore(report)
+        self.admission.check_queue(now=now)
+
     def _offered(
         self, sender: NodeIp, message: Offer, packet: Packet, *, now: float
     ) -> None:
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -143,6 +143,8 @@
             case Announcement():
                 if self.apply_announcement(message, now=now, source="agent"):
                     self.gossip.relay(message)
+                else:
+                    self._remind_agent(message)
             case Relayed():
                 announcement = message.announcement
                 if self.apply_announcement(announcement, now=now, source=sender):
@@ -159,6 +161,17 @@
         self.lookups.wake(now=now)
         self.gossip.wake(now=now)
 
+    def _remind_agent(self, announced: Announcement) -> None:
+        """Tells a restarted agent that its upstream had begun to leave.
+
+        The store may have been away at that time. The entry from which the
+        agent started then still shows a ready upstream.
+        """
+        known = self.directory.entries[announced.node].announcement
+        leaving = known.state in (UpstreamState.DRAINING, UpstreamState.GONE)
+        if leaving and known.order() > announced.order():
+            self.send(announced.node, Relayed(known))
+
     def _detect_pause(self, *, now: float) -> None:
         """Discards beliefs that a pause of this process has made too old.
 
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -171,7 +171,11 @@
 
 
 class Relayed(Message, tag=7):
-    """Balancer to balancer: relays an announcement of a changed upstream."""
+    """Balancer to balancer: relays an announcement of a changed upstream.
+
+    A balancer also sends it to an agent that has announced less than its
+    earlier process did.
+    """
 
     announcement: Announcement
 
