--- a/src/bramleydyke/adapters/raw_datagrams.py
+++ b/src/bramleydyke/adapters/raw_datagrams.py
@@ -14,6 +14,9 @@
 MAX_BATCH = 64
 """Datagrams read at once, before timers and other sockets are served."""
 
+MAX_PENDING_BATCHES = 16
+"""Batches read before a socket closes; more may arrive all the time."""
+
 Receive = Callable[[bytes, str], None]
 """Callback for a datagram and the IP address of its sender."""
 
@@ -69,18 +72,33 @@
 
     def doRead(self) -> None:  # noqa: N802
         """Reads a batch of datagrams, then calls ``on_batch_read``."""
+        self._read_batch()
+        self.on_batch_read()
+
+    def read_pending(self) -> None:
+        """Reads what had arrived when the process was told to stop.
+
+        Call it before ``close``. A socket that was not started is not read.
+        """
+        if self.reading and self.socket.fileno() >= 0:
+            for _ in range(MAX_PENDING_BATCHES):
+                if not self._read_batch():
+                    return
+
+    def _read_batch(self) -> bool:
+        """Reads up to ``MAX_BATCH`` datagrams; False if none is left."""
         receive = self.receive
         recvfrom = self.socket.recvfrom
         for _ in range(MAX_BATCH):
             try:
                 datagram, sender = recvfrom(MAX_RECEIVE_BYTES)
             except BlockingIOError:
-                break
+                return False
             except OSError:
                 self.count("datagrams.receive_failed")
-                break
+                return False
             receive(datagram, sender[0])
-        self.on_batch_read()
+        return True
 
     def logPrefix(self) -> str:  # noqa: N802
         """Returns the prefix of Twisted's log messages about the socket."""
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -221,9 +221,15 @@
         self.clock.callLater(after_s, self._stop_reactor)
 
     def _stop_reactor(self) -> None:
+        for datagrams in self.sockets:
+            datagrams.read_pending()
+        self.log_exceptions(self.finish)()
         self.close()
         self.reactor.stop()
 
+    def finish(self) -> None:
+        """Sends the last messages before the sockets of the node close."""
+
     def close(self) -> None:
         """Closes all sockets and cancels the wake-up timer."""
         self.log.record("stopped", counts=self.counts)
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -199,6 +199,10 @@
         limit = self.settings.stop_within_s - EXIT_MARGIN_S
         self.stop(after_s=min(BALANCER_LINGER_S, limit), reason="SIGTERM")
 
+    def finish(self) -> None:
+        """Hands over the openings that wait here."""
+        self.role.stop(now=self.clock.seconds())
+
     def close(self) -> None:
         """Closes all sockets and stops the calls to the store and to peers."""
         self.registry.stop()
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -18,6 +18,7 @@
 from bramleydyke.direct.messages import (
     Announcement,
     Forward,
+    HandedOver,
     NotHeld,
     Notice,
     Placed,
@@ -131,6 +132,8 @@
                 self.openings.queued(sender, message, now=now)
             case Returned():
                 self._returned(sender, message, now=now)
+            case HandedOver():
+                self._handed_over(message, now=now)
             case NotHeld():
                 for flow in message.flows:
                     self.lookups.absent(flow, sender, now=now)
@@ -210,6 +213,10 @@
             and bool(self.directory.usable_services(now=now))
         )
 
+    def stop(self, *, now: float) -> None:
+        """Hands over what waits here, because this process ends."""
+        self.openings.hand_over(self.gossip.recent_peers(now=now), now=now)
+
     def reset_flow(self, packet: Packet, _: bytes = b"") -> None:
         """Resets the flow of a caller's packet; ignores reset packets."""
         if not packet.reset:
@@ -242,6 +249,16 @@
         forward = Forward(service, False, holder.lifetime, packet.datagram)
         self.send(holder.node, forward)
 
+    def _handed_over(self, message: HandedOver, *, now: float) -> None:
+        """Places an opening packet that a stopping balancer kept."""
+        packet = self.codec.from_caller(message.datagram)
+        if packet is None or not packet.opening:
+            self.count(counter_name(ErrorKind.BAD_FRAME))
+            return
+        route = self.routes.find(packet.route)
+        if route is not None:
+            self.openings.packet_in(packet, route, now=now, age_s=message.age_s)
+
     def _returned(self, sender: NodeIp, message: Returned, *, now: float) -> None:
         """Looks up a flow's holder after an agent returned its packet."""
         self.count(counter_name(ErrorKind.MOVED, action="retried"))
--- a/src/bramleydyke/direct/gossip.py
+++ b/src/bramleydyke/direct/gossip.py
@@ -112,6 +112,13 @@
         oldest = now - LIVE_PEER_S
         return sum(at >= oldest for at in self.peers.values())
 
+    def recent_peers(self, *, now: float) -> list[NodeIp]:
+        """Returns up to ``NOTICE_FANOUT`` live peers, last heard first."""
+        oldest = now - LIVE_PEER_S
+        live = [node for node, at in self.peers.items() if at >= oldest]
+        live.sort(key=lambda node: -self.peers[node])
+        return live[:NOTICE_FANOUT]
+
     def next_wakeup(self) -> float:
         """Returns when the next periodic notices are due, in seconds."""
         return self.due_at
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -54,6 +54,15 @@
     datagram: bytes
 
 
+class HandedOver(Message, tag=13):
+    """Balancer to balancer: an opening packet of a stopping balancer."""
+
+    age_s: float
+    """Seconds since the caller sent the packet first."""
+
+    datagram: bytes
+
+
 class Load(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """Load of an upstream per slot."""
 
@@ -183,6 +192,7 @@
 MeshMessage = (
     Forward
     | Offer
+    | HandedOver
     | HolderQuery
     | Placed
     | Queued
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import chain, cycle
 
 from bramleydyke.core.timers import Timers
 from bramleydyke.direct.constants import (
@@ -17,7 +18,7 @@
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.holders import Holder, Holders
-from bramleydyke.direct.messages import Offer, Placed, Queued, Refused
+from bramleydyke.direct.messages import HandedOver, Offer, Placed, Queued, Refused
 from bramleydyke.direct.ports import Count, Observe, Record, Send, SendToCaller
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.routes import Route, pick_service
@@ -90,12 +91,20 @@
     timers: Timers[FlowTuple] = field(default_factory=Timers)
     round_trip: RoundTrip = field(default_factory=RoundTrip)
 
-    def packet_in(self, packet: Packet, route: Route, *, now: float) -> None:
+    def packet_in(
+        self, packet: Packet, route: Route, *, now: float, age_s: float = 0.0
+    ) -> None:
         """Handles an opening packet of a caller.
 
         A retransmission goes to the agent that has accepted the flow, if any;
         other packets are offered to agents. A packet whose flow is already
         waiting or parked is ignored.
+
+        Args:
+            packet: The opening packet.
+            route: Route of the packet's address.
+            now: Time in seconds.
+            age_s: Time that the packet spent at another balancer, in seconds.
         """
         flow = packet.flow
         if flow in self.waiting or flow in self.parked:
@@ -113,7 +122,7 @@
             self._refuse(packet, ErrorKind.NO_UPSTREAM, service=service)
             return
         avoid = None if holder is None else holder.node
-        arrived_at = now - opening_age_s(packet)
+        arrived_at = now - max(age_s, opening_age_s(packet))
         deadline = arrived_at + min(PARK_S, route.timeout_s or PARK_S)
         opening = Opening(packet, service, [], deadline, route.priority, arrived_at)
         if now >= deadline:
@@ -226,6 +235,29 @@
             self.timers.cancel(opening.packet.flow)
             self._unpark(opening.packet.flow, now=now)
 
+    def hand_over(self, peers: list[NodeIp], *, now: float) -> None:
+        """Leaves all packets to other balancers, because this process stops.
+
+        Without other balancers, flows that no agent has been offered are
+        refused.
+
+        Args:
+            peers: Running balancers.
+            now: Time in seconds.
+        """
+        if not peers:
+            for opening in self.parked.values():
+                service = opening.service
+                self._refuse(opening.packet, ErrorKind.NO_UPSTREAM, service=service)
+        else:
+            openings = chain(self.parked.values(), self.waiting.values())
+            for opening, peer in zip(openings, cycle(peers), strict=False):
+                self.count("handed_over")
+                age_s = now - opening.arrived_at
+                self.send(peer, HandedOver(age_s, opening.packet.datagram))
+        self.parked.clear()
+        self.waiting.clear()
+
     def wake(self, *, now: float) -> None:
         """Asks the next agent after a timeout and retries parked packets."""
         for flow in self.timers.pop_due(now):
@@ -256,8 +288,8 @@
         )
         opening.asked.append(node)
         opening.asked_at = now
-        self.directory.sent(node, now=now)
         self.timers.set(flow, now + self.round_trip.timeout_s())
+        self.directory.sent(node, now=now)
         age_s = now - opening.arrived_at
         datagram = opening.packet.datagram
         offer = Offer(opening.service, opening.priority, age_s, may_wait, datagram)
