--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -16,6 +16,7 @@
     FLOW_IDLE_S,
     MAX_PROBES,
 )
+from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.messages import (
     Announcement,
     Forward,
@@ -42,7 +43,6 @@
     FlowTuple,
     NodeIp,
     Packet,
-    UpstreamState,
 )
 from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
 from bramleydyke.direct.upstream_view import Report, UpstreamView
@@ -155,15 +155,7 @@
             lifetime=announced.lifetime,
             sequence=announced.sequence,
         )
-        report = Report(
-            upstream=announced.upstream,
-            service=announced.service,
-            lifetime=announced.lifetime,
-            sequence=announced.sequence,
-            draining=announced.state is not UpstreamState.READY,
-            slots=announced.slots,
-        )
-        self.view.restore(report)
+        self.view.restore(entry_of(announced).report())
         self.admission.check_queue(now=now)
 
     def _offered(
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -83,7 +83,7 @@
 LOOKUP_STAGE_S = 0.04
 """Wait for answers to a lookup before its next stage asks more agents."""
 
-MAX_LOOKUP_AGENTS = 128
+MAX_LOOKUP_AGENTS = 512
 """Maximum number of agents for a lookup that covers all services.
 
 With more agents, a lookup asks only those of the services that may hold the
