--- a/tests/platform/test_packets.py
+++ b/tests/platform/test_packets.py
@@ -101,6 +101,17 @@
     assert reset[25:] == bytes(11)
 
 
+def test_a_reset_of_an_opening_is_ignored_by_a_caller_whose_flow_is_open():
+    """Guards against a reset of a flow that opened by way of another balancer.
+
+    The number of the copy stands in the field of the acknowledgement; an open
+    flow takes only resets near its last acknowledgement.
+    """
+    packet = CODEC.from_caller(packet_bytes(flags=SYN, acknowledged=2))
+    assert packet is not None and packet.copies == 2
+    assert struct.unpack(">I", CODEC.reset_for(packet)[16:20]) == (0,)
+
+
 def test_wrong_lengths_are_refused():
     good = packet_bytes(payload=b"abcdef")
     assert CODEC.from_caller(good) is not None
