Log restores of the store and what it returns

Cause: the logs could not tell a configuration that was mistaken for a lost one from a change that a watch missed, since they show neither revisions nor that the store has lost anything.

Change: the client reads the store's era, which rises with each restore. Events store_restored and configuration_read, a reason in upstream_removed, gauges store_era and configuration_stored_version. No decision depends on them yet.

--- a/src/bramleydyke/adapters/http_client.py
+++ b/src/bramleydyke/adapters/http_client.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import h11
@@ -33,6 +33,13 @@
 The status is None if the request failed or its response was incomplete.
 """
 
+HeadersCallback = Callable[[Mapping[str, str]], None]
+"""Callback for the headers of a complete response, by lower-case name."""
+
+
+def _ignore_headers(_: Mapping[str, str]) -> None:
+    """Default ``HeadersCallback``."""
+
 
 class HttpConnection(Protocol):
     """A client connection that carries a single request.
@@ -42,9 +49,11 @@
         head: Request line and headers.
         request_body: Body of the request, if any.
         on_response: Callback for the response; None once it was called.
+        on_headers: Callback for the headers, called before ``on_response``.
         timer: Timeout of the request.
         state: State of the HTTP protocol.
         status: Status code of the response, 0 before it arrives.
+        headers: Headers of the response, by lower-case name.
         body: Parts of the response body.
     """
 
@@ -54,16 +63,19 @@
         head: h11.Request,
         request_body: bytes | None,
         on_response: ResponseCallback,
+        on_headers: HeadersCallback,
         timer: DelayedCall,
         lost: Callable[[HttpConnection], None],
     ) -> None:
         self.head = head
         self.request_body = request_body
         self.on_response: ResponseCallback | None = on_response
+        self.on_headers = on_headers
         self.timer = timer
         self.lost = lost
         self.state = h11.Connection(h11.CLIENT)
         self.status = 0
+        self.headers: dict[str, str] = {}
         self.body: list[bytes] = []
 
     def connectionMade(self) -> None:  # noqa: N802 - twisted's name
@@ -110,6 +122,10 @@
             event = self.state.next_event()
             if isinstance(event, h11.Response):
                 self.status = event.status_code
+                self.headers = {
+                    name.decode("ascii"): value.decode("ascii", "replace")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 self.body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -123,6 +139,8 @@
         if self.timer.active():
             self.timer.cancel()
         if on_response is not None:
+            if status is not None:
+                self.on_headers(self.headers)
             on_response(status, b"".join(self.body))
 
 
@@ -168,6 +186,7 @@
         *,
         timeout_s: float,
         on_response: ResponseCallback,
+        on_headers: HeadersCallback = _ignore_headers,
         body: bytes | None = None,
     ) -> None:
         """Sends a request.
@@ -179,6 +198,8 @@
             timeout_s: Time limit for the complete response, in seconds. It
                 starts when the connection is established.
             on_response: Called exactly once, with the response or with None.
+            on_headers: Called with the headers of a complete response, before
+                ``on_response``.
             body: Body of the request, if any.
         """
         address = parse_endpoint(endpoint)
@@ -198,6 +219,7 @@
                 head=head,
                 request_body=body,
                 on_response=on_response,
+                on_headers=on_headers,
                 timer=self.clock.callLater(timeout_s, lambda: connection.abort()),
                 lost=self.connections.discard,
             )
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -27,7 +27,7 @@
 from bramleydyke.direct.messages import decode, encode
 from bramleydyke.direct.ports import Count, Observe
 from bramleydyke.direct.settings import DirectSettings, SettingsError, load_settings
-from bramleydyke.direct.store import Store
+from bramleydyke.direct.store import Era, Store
 from bramleydyke.direct.types import NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.ports import Clock
@@ -70,6 +70,7 @@
         metrics: Renders counters, gauges and latency histograms as a page.
         early_sockets: Sockets that were opened before this module was
             imported, by type and endpoint.
+        store: Client of the platform's store.
         role: The balancer or agent; the subclass sets it before ``start``.
         mesh_socket: UDP socket for messages between nodes.
         seed: Seed of the random source, which the start event logs.
@@ -86,6 +87,7 @@
         settings: DirectSettings,
         settings_path: Path,
         *,
+        new_store: StoreFactory,
         log_descriptor: int = STDOUT,
         early_sockets: EarlySockets | None = None,
     ) -> None:
@@ -107,6 +109,8 @@
             max_lines_per_s=settings.log_lines_per_s,
             count=self.count,
         )
+        self.store = new_store(reactor, self.clock, self.count, self.observe)
+        self.store.on_restored = self._store_restored
         self.sockets: list[RawDatagrams] = []
         self.mesh_socket = self.open_datagrams(
             f"{settings.ip}:{settings.mesh_port}", self._receive_message
@@ -227,6 +231,10 @@
         self.close()
         self.reactor.stop()
 
+    def _store_restored(self, era: Era) -> None:
+        """Logs that the store came back from a copy, without later changes."""
+        self.log.record("store_restored", era=era)
+
     def finish(self) -> None:
         """Sends the last messages before the sockets of the node close."""
 
@@ -264,7 +272,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Returns the current value of each gauge, by name."""
-        return {}
+        return {"store_era": self.store.era}
 
     # Settings.
 
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -9,7 +9,6 @@
 from bramleydyke.daemons.direct import (
     EXIT_MARGIN_S,
     DirectNode,
-    StoreFactory,
     caller_ip,
 )
 from bramleydyke.direct.agent import Agent
@@ -18,7 +17,7 @@
 from bramleydyke.direct.entry_writer import EntryWriter
 from bramleydyke.direct.ports import PacketCodec
 from bramleydyke.direct.settings import DirectSettings
-from bramleydyke.direct.store import CallStatus, Kind, Listing, Store, StoredObject
+from bramleydyke.direct.store import CallStatus, Kind, Listing, StoredObject
 from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.endpoints import host_of, parse_endpoint, port_of
@@ -58,7 +57,6 @@
         settings_path: Path,
         *,
         codec: PacketCodec,
-        new_store: StoreFactory,
         **options: Any,
     ) -> None:
         super().__init__(reactor, settings, settings_path, **options)
@@ -67,7 +65,6 @@
         assert upstream is not None
         self.upstream = upstream
         self.caller_port = port_of(settings.packet_endpoint)
-        self.store: Store = new_store(reactor, self.clock, self.count, self.observe)
         self.role: Agent = Agent(
             node=own_ip,
             zone=AvailabilityZone(settings.availability_zone),
@@ -159,7 +156,7 @@
         now = self.clock.seconds()
         role = self.role
         state = role.view.state(now=now)
-        return {
+        return super().gauges() | {
             "upstream_ready": float(state is UpstreamState.READY),
             "upstream_report_age_seconds": round(now - role.view.reported_at, 3),
             "flows_unfinished": role.flows.unfinished,
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -13,7 +13,6 @@
 from bramleydyke.daemons.direct import (
     EXIT_MARGIN_S,
     DirectNode,
-    StoreFactory,
     caller_ip,
 )
 from bramleydyke.direct.balancer import Balancer
@@ -27,7 +26,7 @@
 from bramleydyke.direct.registry import Registry
 from bramleydyke.direct.routes import Routes, RouteSet
 from bramleydyke.direct.settings import DirectSettings
-from bramleydyke.direct.store import Kind, Store
+from bramleydyke.direct.store import Kind
 from bramleydyke.direct.types import ConfigVersion, NodeIp, Packet
 from bramleydyke.endpoints import host_of, port_of
 from bramleydyke.types import AvailabilityZone
@@ -77,7 +76,6 @@
         settings_path: Path,
         *,
         codec: PacketCodec,
-        new_store: StoreFactory,
         **options: Any,
     ) -> None:
         super().__init__(reactor, settings, settings_path, **options)
@@ -89,7 +87,6 @@
         )
         self.snapshot_pending = False
         self.lacks_upstreams = True
-        store: Store = new_store(reactor, self.clock, self.count, self.observe)
         routes = Routes()
         directory = Directory(zone)
         gossip = Gossip(
@@ -112,7 +109,7 @@
             observe=self.observe,
         )
         self.registry = Registry(
-            store=store,
+            store=self.store,
             clock=self.clock,
             random_source=self.random_source,
             routes=routes,
@@ -127,7 +124,7 @@
         self.entry_writer = EntryWriter(
             kind=Kind.BALANCERS,
             name=own_ip,
-            store=store,
+            store=self.store,
             clock=self.clock,
             random_source=self.random_source,
             count=self.count,
@@ -174,8 +171,9 @@
         role = self.role
         entries = role.directory.entries.values()
         confirmed = min(now - role.routes.confirmed_at, NEVER_CONFIRMED_AGE_S)
-        return {
+        return super().gauges() | {
             "configuration_version": role.routes.version,
+            "configuration_stored_version": self.registry.stored_version,
             "configuration_confirmed_age_seconds": round(confirmed, 3),
             "routes": len(role.routes.current.routes) if role.routes.current else 0,
             "upstreams": len(entries),
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -29,7 +29,7 @@
     Store,
     StoredObject,
 )
-from bramleydyke.direct.types import Lifetime, NodeIp
+from bramleydyke.direct.types import ConfigVersion, Lifetime, NodeIp
 from bramleydyke.ports import Clock
 
 
@@ -49,6 +49,8 @@
         listed: Lifetime in the stored entry of each agent that has one; 0 if
             the entry is unreadable.
         resumed_at: End of the last pause of this process, in seconds.
+        stored_version: Version of the configuration that the store returned
+            last; 0 before the first one.
     """
 
     store: Store
@@ -65,6 +67,7 @@
     stopped: bool = False
     listed: dict[NodeIp, Lifetime] = field(default_factory=dict)
     resumed_at: float = float("-inf")
+    stored_version: ConfigVersion = ConfigVersion(0)
 
     def start(self) -> None:
         """Starts the watches, the lists of balancers and entry expiry."""
@@ -171,8 +174,17 @@
         self.routes.confirm(now=called_at)
 
     def _apply_stored_routes(self, stored: StoredObject) -> None:
-        if isinstance(stored.value, RouteSet):
-            self.apply_routes(stored.value, source="store")
+        if not isinstance(stored.value, RouteSet):
+            return
+        if stored.value.version != self.stored_version:
+            self.stored_version = stored.value.version
+            self.record(
+                "configuration_read",
+                version=stored.value.version,
+                revision=stored.revision,
+                in_force=self.routes.version,
+            )
+        self.apply_routes(stored.value, source="store")
 
     # Upstreams.
 
@@ -181,7 +193,7 @@
         for stored in listing.objects:
             self._apply_stored_upstream(stored)
         for node in earlier.keys() - self.listed.keys():
-            self._entry_removed(node, earlier[node])
+            self._entry_removed(node, earlier[node], reason="not_listed")
         # A listing from before a pause lacks upstreams that joined during it.
         self.directory.complete = called_at >= self.resumed_at
         self.on_listed()
@@ -193,13 +205,21 @@
         for change in changes.changes:
             if change.removed:
                 node = NodeIp(change.object.name)
-                self._entry_removed(node, self.listed.pop(node, Lifetime(0)))
+                lifetime = self.listed.pop(node, Lifetime(0))
+                self._entry_removed(node, lifetime, reason="removed")
             else:
                 self._apply_stored_upstream(change.object)
 
-    def _entry_removed(self, node: NodeIp, lifetime: Lifetime) -> None:
+    def _entry_removed(self, node: NodeIp, lifetime: Lifetime, *, reason: str) -> None:
+        """Marks an upstream as gone.
+
+        Args:
+            node: IP address of the agent.
+            lifetime: Lifetime of the upstream in the entry.
+            reason: How this balancer learned of the end, for the log.
+        """
         if self.directory.removed(node, lifetime, now=self.clock.seconds()):
-            self.record("upstream_removed", agent=node)
+            self.record("upstream_removed", agent=node, reason=reason)
 
     def _apply_stored_upstream(self, stored: StoredObject) -> None:
         readable = isinstance(stored.value, UpstreamEntry)
@@ -254,7 +274,7 @@
         for node in silent_agents:
             if node not in self.listed:
                 lifetime = self.directory.entries[node].announcement.lifetime
-                self._entry_removed(node, lifetime)
+                self._entry_removed(node, lifetime, reason="silent")
         silent = [(Kind.UPSTREAMS, n) for n in silent_agents if n in self.listed]
         silent += [
             (Kind.BALANCERS, node)
--- a/src/bramleydyke/direct/store.py
+++ b/src/bramleydyke/direct/store.py
@@ -10,6 +10,17 @@
 """Number of a change in the store; later changes have larger numbers."""
 
 
+Era = NewType("Era", int)
+"""Counts how often the store was restored from a copy; 0 if unknown.
+
+A restored store lacks the changes since the copy was made, and assigns their
+revisions again. Revisions of different eras cannot be compared.
+"""
+
+OnRestored = Callable[[Era], None]
+"""Called with the new era after the store was restored from a copy."""
+
+
 class Kind(Enum):
     """Kind of a stored object."""
 
@@ -78,8 +89,16 @@
     """Asynchronous calls to the store.
 
     Each call returns at once and later calls ``reply`` once with its result.
+
+    Attributes:
+        era: Newest era that an answer has shown.
+        on_restored: Called when an answer shows a new era, before the
+            ``reply`` of that answer.
     """
 
+    era: Era
+    on_restored: OnRestored
+
     def list(self, kind: Kind, reply: Reply, *, stale: bool = False) -> None:
         """Replies with the ``Listing`` of a kind.
 
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import urlencode
 
@@ -20,8 +20,10 @@
     CallStatus,
     Change,
     Changes,
+    Era,
     Kind,
     Listing,
+    OnRestored,
     Reply,
     Revision,
     StoredObject,
@@ -32,6 +34,9 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 
+ERA_HEADER = "store-era"
+"""Response header with the era, in lower case."""
+
 KIND_NAMES = {
     Kind.CONFIGURATION: CONFIG_KIND,
     Kind.UPSTREAMS: "bramleydyke-upstreams",
@@ -101,6 +106,8 @@
 
     Attributes:
         endpoint: ``ip:port`` of the store.
+        era: Newest era that an answer has shown.
+        on_restored: Called when an answer shows a new era.
         latest_manifest: Revision and decoded routes of the manifest that was
             read last; avoids decoding an unchanged manifest again.
     """
@@ -112,6 +119,8 @@
         self.observe = observe
         self.endpoint = endpoint
         self.count = count
+        self.era = Era(0)
+        self.on_restored: OnRestored = lambda era: None
         self.latest_manifest: tuple[int, Any] = (0, None)
 
     def list(self, kind: Kind, reply: Reply, *, stale: bool = False) -> None:
@@ -231,9 +240,26 @@
             f"/objects/{path}",
             timeout_s=timeout_s,
             on_response=observe_and_reply,
+            on_headers=self._check_era,
             body=body,
         )
 
+    def _check_era(self, headers: Mapping[str, str]) -> None:
+        """Reports a restored store if the era in a response has increased."""
+        text = headers.get(ERA_HEADER, "")
+        if not text:
+            return
+        if not text.isdecimal():
+            self.count("store.bad_era")
+            return
+        earlier, era = self.era, Era(int(text))
+        if era <= earlier:
+            return
+        self.era = era
+        if earlier:
+            self.count("store.restored")
+            self.on_restored(era)
+
     def _decode_response(
         self, status: int | None, body: bytes, message_type: Any, reply: Reply
     ) -> Any:
--- a/tests/direct/test_environment.py
+++ b/tests/direct/test_environment.py
@@ -77,6 +77,22 @@
     run_until(lambda: not client.connections)
 
 
+def test_headers_of_a_response_are_reported_before_it(server):
+    endpoint, _ = server
+    client = calls()
+    seen = []
+    client.request(
+        "GET",
+        endpoint,
+        "/",
+        timeout_s=5.0,
+        on_response=lambda status, body: seen.append(status),
+        on_headers=lambda headers: seen.append(headers["content-type"]),
+    )
+    run_until(lambda: len(seen) == 2)
+    assert seen == ["application/json", 200]
+
+
 class AnswersTwice(Protocol):
     """Answers each request, and once more before the next one's answer."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,19 +39,35 @@
 
 
 class FakeHttpClient:
-    """HTTP client that returns prepared responses and records the requests."""
+    """HTTP client that returns prepared responses and records the requests.
+
+    Attributes:
+        eras: Era in each of the responses; none is sent once it is empty.
+    """
 
     def __init__(self, *answers: tuple[int | None, Any]) -> None:
         self.answers = list(answers)
+        self.eras: list[str] = []
         self.requests: list[tuple[str, str, Any]] = []
         self.clock = Clock()
 
-    def request(self, method, endpoint, target, *, timeout_s, on_response, body=None):
+    def request(
+        self,
+        method,
+        endpoint,
+        target,
+        *,
+        timeout_s,
+        on_response,
+        on_headers,
+        body=None,
+    ):
         self.requests.append(
             (method, target, None if body is None else json.loads(body))
         )
         status, answer = self.answers.pop(0)
         raw = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
+        on_headers({"store-era": self.eras.pop(0)} if self.eras else {})
         on_response(status, raw)
 
 
@@ -75,6 +91,19 @@
     return {"meta": {"name": name, "revision": revision}, "spec": spec}
 
 
+def test_reports_a_higher_era_before_the_reply():
+    listing = (200, {"items": [], "current_rev": 9})
+    store, calls = store_with(*[listing] * 6)
+    calls.eras = ["7", "7", "8", "8", "x", ""]
+    seen: list[Any] = []
+    store.on_restored = seen.append
+    for _ in range(6):
+        store.list(Kind.BALANCERS, lambda status, value: seen.append(status))
+    ok = CallStatus.OK
+    assert seen == [ok, ok, 8, ok, ok, ok, ok]
+    assert store.era == 8
+
+
 def test_lists_all_pages():
     store, calls = store_with(
         (200, {"items": [item("a", 3, SPEC)], "more": True, "current_rev": 8}),
