Do not take a configuration for a lost one with the same revision

What callers saw: a configuration that was written just after the store came back from an older copy was not in force, for as long as no other followed.

Cause: the client kept the routes of the manifest it had read last and used them again if the revision was the same. A restored store assigns the revisions of what it has lost again, so version 18 got the revision of version 16 and was never decoded.

Change: the manifest is compared by a digest of its content, so no decision depends on a revision that was assigned twice. Unchanged manifests are still decoded once.

--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from xxhash import xxh3_128_digest
 
 from bramleydyke.adapters.http_client import HttpClient
 from bramleydyke.daemons.direct import StoreFactory
@@ -108,7 +109,7 @@
         endpoint: ``ip:port`` of the store.
         era: Newest era that an answer has shown.
         on_restored: Called when an answer shows a new era.
-        latest_manifest: Revision and decoded routes of the manifest that was
+        latest_manifest: Digest and decoded routes of the manifest that was
             read last; avoids decoding an unchanged manifest again.
     """
 
@@ -121,7 +122,7 @@
         self.count = count
         self.era = Era(0)
         self.on_restored: OnRestored = lambda era: None
-        self.latest_manifest: tuple[int, Any] = (0, None)
+        self.latest_manifest: tuple[bytes, Any] = (b"", None)
 
     def list(self, kind: Kind, reply: Reply, *, stale: bool = False) -> None:
         """Replies with all objects of a kind, which it reads page by page."""
@@ -282,11 +283,16 @@
         return StoredObject(item.meta.name, revision, self._decode_value(kind, item))
 
     def _manifest_routes(self, item: _Object) -> Any:
-        """Returns the routes; decodes them only if the revision is new."""
-        revision, routes = self.latest_manifest
-        if routes is None or revision != item.meta.revision:
+        """Returns the routes; decodes them only if the manifest has changed.
+
+        The revision does not tell: a restored store may assign the revision of
+        a lost manifest to another one.
+        """
+        latest_digest, routes = self.latest_manifest
+        digest = xxh3_128_digest(item.spec)
+        if routes is None or digest != latest_digest:
             routes = self._decode_value(Kind.CONFIGURATION, item)
-            self.latest_manifest = (item.meta.revision, routes)
+            self.latest_manifest = (digest, routes)
         return routes
 
     def _decode_value(self, kind: Kind, item: _Object) -> Any:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -154,6 +154,35 @@
     assert calls.requests[0][1].endswith("?watch=3&wait_ms=10000")
 
 
+def manifest(version: int, port: int) -> dict[str, Any]:
+    route = {"hostname": "10.0.9.1", "path_prefix": f"/{port}/", "service": "board"}
+    return {"version": version, "routes": [route]}
+
+
+def test_a_configuration_with_the_revision_of_a_lost_one_is_read():
+    """A store that was restored from a copy assigns revisions again."""
+    answers = [
+        (200, {"items": [item("main", 22, spec)], "current_rev": 22})
+        for spec in (manifest(16, 80), manifest(18, 81))
+    ]
+    store, _ = store_with(*answers)
+    replies, reply = record_replies()
+    store.list(Kind.CONFIGURATION, reply)
+    store.list(Kind.CONFIGURATION, reply)
+    versions = [listing.objects[0].value.version for _, listing in replies]
+    assert versions == [16, 18]
+
+
+def test_an_unchanged_configuration_is_decoded_once():
+    body = {"items": [item("main", 22, manifest(16, 80))], "current_rev": 22}
+    store, _ = store_with((200, body), (200, body))
+    replies, reply = record_replies()
+    store.list(Kind.CONFIGURATION, reply)
+    store.list(Kind.CONFIGURATION, reply)
+    first, second = (listing.objects[0].value for _, listing in replies)
+    assert first is second
+
+
 def test_writes_carry_the_revision_that_they_replace():
     answer = item("10.0.0.1", 12, SPEC)
     store, calls = store_with((201, answer), (200, answer), (409, answer), (200, {}))
