Do not continue a watch across a restore of the store

A balancer could miss changes of upstreams or of the configuration until the next listing, which for upstreams is the next failed call.

Cause: watches and polls went on from the newest revision seen, and a poll kept the maximum of both histories. A restored store that has passed this revision again answers with the changes after it only. Answers that were delayed from before the restore were taken for the present state.

Change: after a restore KindWatch begins a new sequence with a listing and ignores answers and timers of the earlier one. The client counts answers of an earlier era as lost and does not join pages of two eras. The stand-in store can be restored from a copy.

--- a/src/bramleydyke/adapters/http_server.py
+++ b/src/bramleydyke/adapters/http_server.py
@@ -19,11 +19,12 @@
 
 
 class HttpReply(NamedTuple):
-    """Response to a request: status code, body and media type."""
+    """Response to a request: status code, body, media type, other headers."""
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class DeferredReply:
@@ -125,6 +126,7 @@
         headers = [
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
+            *reply.headers,
         ]
         events = [
             h11.Response(status_code=reply.status, headers=headers),
--- a/src/bramleydyke/daemons/direct.py
+++ b/src/bramleydyke/daemons/direct.py
@@ -110,7 +110,7 @@
             count=self.count,
         )
         self.store = new_store(reactor, self.clock, self.count, self.observe)
-        self.store.on_restored = self._store_restored
+        self.store.on_restored = self.store_restored
         self.sockets: list[RawDatagrams] = []
         self.mesh_socket = self.open_datagrams(
             f"{settings.ip}:{settings.mesh_port}", self._receive_message
@@ -231,8 +231,12 @@
         self.close()
         self.reactor.stop()
 
-    def _store_restored(self, era: Era) -> None:
-        """Logs that the store came back from a copy, without later changes."""
+    def store_restored(self, era: Era) -> None:
+        """Handles that the store came back from a copy, without later changes.
+
+        Args:
+            era: New era of the store.
+        """
         self.log.record("store_restored", era=era)
 
     def finish(self) -> None:
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -26,7 +26,7 @@
 from bramleydyke.direct.registry import Registry
 from bramleydyke.direct.routes import Routes, RouteSet
 from bramleydyke.direct.settings import DirectSettings
-from bramleydyke.direct.store import Kind
+from bramleydyke.direct.store import Era, Kind
 from bramleydyke.direct.types import ConfigVersion, NodeIp, Packet
 from bramleydyke.endpoints import host_of, port_of
 from bramleydyke.types import AvailabilityZone
@@ -208,6 +208,11 @@
         self.peer_calls.close()
         super().close()
 
+    def store_restored(self, era: Era) -> None:
+        """Reads the configuration and the upstreams again."""
+        super().store_restored(era)
+        self.registry.store_restored()
+
     def fetch_snapshot(self, node: NodeIp, version: ConfigVersion) -> None:
         """Requests a snapshot from another balancer.
 
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -30,8 +30,9 @@
 class KindWatch:
     """Lists the objects of a kind, then watches them for changes.
 
-    After a failed call the objects are listed again. A watch may stay open
-    without delivering a change, so polls can run in parallel to it.
+    After a failed call, and after the store was restored from a copy, the
+    objects are listed again. A watch may stay open without delivering a
+    change, so polls can run in parallel to it.
 
     Attributes:
         listed: Called with each full listing of the objects and with the time
@@ -46,7 +47,12 @@
         lost: True while the store does not answer.
         failures: Number of consecutive failed calls, which lengthen the pause
             before the next one.
-        revision: Newest revision that the store has returned.
+        revision: Newest revision that the store has returned since it was
+            last restored.
+        sequence: Number of the sequence of a listing and watches that is in
+            progress. Answers and timers of earlier sequences are ignored.
+        listing: True while the listing of the sequence has no answer.
+        restores: Number of restores of the store so far.
         polls: Number of polls so far.
     """
 
@@ -64,6 +70,9 @@
     lost: bool = False
     failures: int = 0
     revision: Revision = Revision(0)
+    sequence: int = 0
+    listing: bool = False
+    restores: int = 0
     polls: int = 0
     stopped: bool = False
 
@@ -77,41 +86,73 @@
         """Stops making calls; later answers are ignored."""
         self.stopped = True
 
+    def store_restored(self) -> None:
+        """Lists the objects, because changes and their revisions were lost.
+
+        The restored store may already have passed ``revision`` with other
+        changes, so no call may continue from it.
+        """
+        self.restores += 1
+        self.revision = Revision(0)
+        if not self.listing:
+            self._list()
+
     def _list(self) -> None:
-        if not self.stopped:
-            called_at = self.clock.seconds()
-            self.store.list(self.kind, partial(self._on_list, called_at))
+        """Starts a new sequence of calls."""
+        if self.stopped:
+            return
+        self.sequence += 1
+        self.listing = True
+        on_list = partial(self._on_list, self.sequence, self.clock.seconds())
+        self.store.list(self.kind, on_list)
+
+    def _list_again(self, sequence: int) -> None:
+        """Lists the objects unless a later sequence has begun."""
+        if sequence == self.sequence:
+            self._list()
 
     def _on_list(
-        self, called_at: float, status: CallStatus, listing: Listing | None
+        self,
+        sequence: int,
+        called_at: float,
+        status: CallStatus,
+        listing: Listing | None,
     ) -> None:
-        if self.stopped:
+        if self.stopped or sequence != self.sequence:
             return
+        self.listing = False
         if status is not CallStatus.OK or listing is None:
             self._retry(status)
             return
         self._regained()
         self.listed(listing, called_at)
-        self._watch(listing.revision)
+        self._watch(sequence, listing.revision)
 
-    def _watch(self, revision: Revision) -> None:
+    def _watch(self, sequence: int, revision: Revision) -> None:
+        if self.stopped or sequence != self.sequence:
+            return
         self.revision = max(self.revision, revision)
-        if not self.stopped:
-            on_watch = partial(self._on_watch, self.clock.seconds())
-            self.store.watch(self.kind, revision, WATCH_WAIT_S, on_watch)
+        on_watch = partial(self._on_watch, sequence, self.clock.seconds())
+        self.store.watch(self.kind, revision, WATCH_WAIT_S, on_watch)
 
     def _on_watch(
-        self, called_at: float, status: CallStatus, changes: Changes | None
+        self,
+        sequence: int,
+        called_at: float,
+        status: CallStatus,
+        changes: Changes | None,
     ) -> None:
-        if self.stopped:
+        if self.stopped or sequence != self.sequence:
             return
         if status is CallStatus.OK and changes is not None:
             self._regained()
             self.changed(changes, called_at)
             if self.pause_s and changes.changes:
-                self.clock.callLater(self.pause_s, self._watch, changes.revision)
+                self.clock.callLater(
+                    self.pause_s, self._watch, sequence, changes.revision
+                )
             else:
-                self._watch(changes.revision)
+                self._watch(sequence, changes.revision)
         elif status is CallStatus.HISTORY_GONE:
             self.count(f"store.{self.kind.value}.history_gone")
             self._list()
@@ -131,7 +172,7 @@
             cap=STORE_BACKOFF_CAP_S,
         )
         self.failures += 1
-        self.clock.callLater(delay, self._list)
+        self.clock.callLater(delay, self._list_again, self.sequence)
 
     def _regained(self) -> None:
         self.failures = 0
@@ -152,7 +193,7 @@
             return
         self.polls += 1
         if self.polls % POLLS_PER_FULL_POLL:
-            on_poll = partial(self._on_poll, self.clock.seconds())
+            on_poll = partial(self._on_poll, self.restores, self.clock.seconds())
             self.store.watch(self.kind, self.revision, 0.0, on_poll)
         else:
             self.poll_all()
@@ -164,10 +205,14 @@
             self.store.list(self.kind, on_full_poll)
 
     def _on_poll(
-        self, called_at: float, status: CallStatus, changes: Changes | None
+        self,
+        restores: int,
+        called_at: float,
+        status: CallStatus,
+        changes: Changes | None,
     ) -> None:
         """Handles the answer to a poll: changes after ``revision``."""
-        if self.stopped:
+        if self.stopped or restores != self.restores:
             return
         if status is CallStatus.HISTORY_GONE:
             self.poll_all()
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -104,6 +104,11 @@
         for watch in self.watches:
             watch.poll_all()
 
+    def store_restored(self) -> None:
+        """Reads everything again, because the store has lost changes."""
+        for watch in self.watches:
+            watch.store_restored()
+
     def poll_interval_s(self) -> float:
         """Returns the interval of this balancer's configuration polls.
 
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -183,10 +183,15 @@
         query: dict[str, str],
         reply: Reply,
     ) -> None:
+        era = self.era
+
         def on_response(status: int | None, body: bytes) -> None:
             page = self._decode_response(status, body, _List, reply)
             if page is None:
                 return
+            if earlier_objects and era != self.era:
+                reply(CallStatus.LOST, None)
+                return
             objects = earlier_objects + [
                 self._stored_object(kind, item) for item in page.items
             ]
@@ -229,8 +234,16 @@
     ) -> None:
         self.count("store.calls")
         started_at = self.calls.clock.seconds()
+        from_earlier_era = False
+
+        def on_headers(headers: Mapping[str, str]) -> None:
+            nonlocal from_earlier_era
+            from_earlier_era = self._check_era(headers)
 
         def observe_and_reply(status: int | None, answer: bytes) -> None:
+            if from_earlier_era:
+                self.count("store.outdated_answer")
+                status = None
             if "watch=" not in path:
                 self.observe("store_call", self.calls.clock.seconds() - started_at)
             on_response(status, answer)
@@ -241,25 +254,30 @@
             f"/objects/{path}",
             timeout_s=timeout_s,
             on_response=observe_and_reply,
-            on_headers=self._check_era,
+            on_headers=on_headers,
             body=body,
         )
 
-    def _check_era(self, headers: Mapping[str, str]) -> None:
-        """Reports a restored store if the era in a response has increased."""
+    def _check_era(self, headers: Mapping[str, str]) -> bool:
+        """Reports a restored store if the era in a response has increased.
+
+        Returns:
+            True if the response is from an earlier era. What it says may be
+            lost, so the call counts as unanswered.
+        """
         text = headers.get(ERA_HEADER, "")
-        if not text:
-            return
         if not text.isdecimal():
-            self.count("store.bad_era")
-            return
+            if text:
+                self.count("store.bad_era")
+            return False
         earlier, era = self.era, Era(int(text))
         if era <= earlier:
-            return
+            return era < earlier
         self.era = era
         if earlier:
             self.count("store.restored")
             self.on_restored(era)
+        return False
 
     def _decode_response(
         self, status: int | None, body: bytes, message_type: Any, reply: Reply
--- a/src/bramleydyke/standins/platform_vm/store.py
+++ b/src/bramleydyke/standins/platform_vm/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's metadata store.
 
-It has revisions, conditional writes, watches and outages.
+It has revisions, conditional writes, watches and outages, and can be restored
+from an earlier copy.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
 from bramleydyke.adapters.http_server import DeferredReply, HttpReply, listen_http
@@ -19,6 +20,18 @@
 """Number of past changes that a watch can still report."""
 
 
+class StoreCopy(NamedTuple):
+    """Copy of the store's contents at a revision.
+
+    Attributes:
+        history: See ``StoreStandIn``.
+    """
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+
+
 @dataclass(slots=True)
 class PendingWatch:
     """A watch that waits for the next change of an object of its kind."""
@@ -43,6 +56,8 @@
         history: Last changes as revision, kind, object and whether it was
             removed.
         compacted_revision: Watches from before this revision get 410.
+        era: Number of restores; each response contains it.
+        operator_objects: Last value that ``put`` wrote, by kind and name.
     """
 
     clock: Clock
@@ -57,6 +72,8 @@
     )
     compacted_revision: int = 0
     watches: list[PendingWatch] = field(default_factory=list)
+    era: int = 1
+    operator_objects: dict[tuple[str, str], Any] = field(default_factory=dict)
 
     def listen(self, reactor: Any, endpoint: str) -> Any:
         """Serves the store over HTTP at ``ip:port``; returns the port."""
@@ -64,15 +81,46 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object without a condition, as the platform's operator."""
+        self.operator_objects[kind, name] = spec
         self._store(kind, name, spec)
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the contents, for ``restore``."""
+        return StoreCopy(self.revision, dict(self.objects), list(self.history))
+
+    def restore(self, copy: StoreCopy, *, rewrite: bool = True) -> None:
+        """Replaces the contents by a copy; later changes are lost.
+
+        Pending watches get no answer. Revisions after that of the copy are
+        assigned again.
+
+        Args:
+            copy: Contents from now on.
+            rewrite: Whether the operator writes its objects again at once.
+        """
+        for pending in self.watches:
+            pending.timer.cancel()
+        self.watches.clear()
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.history = deque(copy.history, maxlen=MAX_HISTORY)
+        if rewrite:
+            self.rewrite()
+
+    def rewrite(self) -> None:
+        """Writes the operator's objects again that a restore has changed."""
+        for (kind, name), spec in self.operator_objects.items():
+            if self.objects.get((kind, name), {}).get("spec") != spec:
+                self._store(kind, name, spec)
+
     def compact(self) -> None:
         """Drops the history and ends all pending watches with 410."""
         self.compacted_revision = self.revision
         self.history.clear()
         for pending in self.watches:
             pending.timer.cancel()
-            pending.answer(HttpReply(410))
+            pending.answer(self._reply(410))
         self.watches.clear()
 
     def handle(
@@ -98,7 +146,7 @@
     ) -> HttpReply | DeferredReply:
         if name:
             found = self.objects.get((kind, name))
-            return HttpReply(404) if found is None else _json(200, found)
+            return self._reply(404) if found is None else self._reply(200, found)
         if "watch" in options:
             return self._watch(
                 kind, int(options["watch"]), int(options["wait_ms"]) / 1_000
@@ -108,16 +156,18 @@
             for (object_kind, _), item in sorted(self.objects.items())
             if object_kind == kind
         ]
-        return _json(200, {"items": items, "more": False, "current_rev": self.revision})
+        return self._reply(
+            200, {"items": items, "more": False, "current_rev": self.revision}
+        )
 
     def _watch(
         self, kind: str, revision: int, wait_s: float
     ) -> HttpReply | DeferredReply:
-        if revision < self.compacted_revision:
-            return HttpReply(410)
+        if not self.compacted_revision <= revision <= self.revision:
+            return self._reply(410)
         events = self._events(kind, revision)
         if events:
-            return _json(200, {"events": events, "current_rev": self.revision})
+            return self._reply(200, {"events": events, "current_rev": self.revision})
         answer = DeferredReply()
         timer = self.clock.callLater(wait_s, self._end_watch, answer)
         self.watches.append(PendingWatch(kind, revision, answer, timer))
@@ -125,7 +175,7 @@
 
     def _end_watch(self, answer: DeferredReply) -> None:
         self.watches = [watch for watch in self.watches if watch.answer is not answer]
-        answer(_json(200, {"events": [], "current_rev": self.revision}))
+        answer(self._reply(200, {"events": [], "current_rev": self.revision}))
 
     def _events(self, kind: str, revision: int) -> list[dict[str, Any]]:
         return [
@@ -143,19 +193,19 @@
         expected = options.get("revision") or request.get("meta", {}).get("revision")
         if method == "POST":
             if found is not None:
-                return _json(409, found)
-            return _json(201, self._store(kind, name, request["spec"]))
+                return self._reply(409, found)
+            return self._reply(201, self._store(kind, name, request["spec"]))
         if found is None:
-            return HttpReply(404)
+            return self._reply(404)
         if expected is not None and int(expected) != found["meta"]["revision"]:
-            return _json(409, found)
+            return self._reply(409, found)
         if method == "DELETE":
             del self.objects[kind, name]
             self._record_change(kind, found, removed=True)
-            return _json(200, {})
+            return self._reply(200, {})
         if request["spec"] == found["spec"]:
-            return _json(200, found)
-        return _json(200, self._store(kind, name, request["spec"]))
+            return self._reply(200, found)
+        return self._reply(200, self._store(kind, name, request["spec"]))
 
     def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         item = {"meta": {"name": name, "revision": self.revision + 1}, "spec": spec}
@@ -171,8 +221,11 @@
         for pending in matching:
             pending.timer.cancel()
             events = self._events(kind, pending.revision)
-            pending.answer(_json(200, {"events": events, "current_rev": self.revision}))
-
+            pending.answer(
+                self._reply(200, {"events": events, "current_rev": self.revision})
+            )
 
-def _json(status: int, document: Any) -> HttpReply:
-    return HttpReply(status, json.dumps(document).encode())
+    def _reply(self, status: int, document: Any = None) -> HttpReply:
+        body = b"" if document is None else json.dumps(document).encode()
+        headers = (("Store-Era", str(self.era)),)
+        return HttpReply(status, body, headers=headers)
--- a/tests/direct/test_kind_watch.py
+++ b/tests/direct/test_kind_watch.py
@@ -141,3 +141,61 @@
     assert store.watches == []
     clock.advance(0.3)
     assert store.watches.pop()[0] == 6
+
+
+def test_a_restore_is_followed_by_a_listing_not_by_the_old_revision():
+    """A restored store may have passed the old revision with other changes."""
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = make_watch(store, clock, poll_s=lambda: 1.0)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(30)))
+    _, old_watch = store.watches.pop()
+    clock.advance(1.0)
+    _, old_poll = store.watches.pop()
+    watch.store_restored()
+    old_watch(CallStatus.OK, Changes([], Revision(31)))
+    old_poll(CallStatus.OK, Changes([], Revision(31)))
+    assert seen == [("listed", 30)]
+    assert store.watches == []
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(12)))
+    assert seen == [("listed", 30), ("listed", 12)]
+    assert store.watches.pop()[0] == 12
+    clock.advance(1.0)
+    assert store.watches.pop()[0] == 12
+
+
+def test_a_restore_ends_the_pause_after_a_change():
+    store, clock = ScriptedStore(), Clock()
+    watch, _, _ = make_watch(store, clock, pause_s=3.0)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    change = Change(StoredObject("main", Revision(6), None), False)
+    store.watches.pop()[1](CallStatus.OK, Changes([change], Revision(6)))
+    watch.store_restored()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(4)))
+    clock.advance(3.0)
+    assert [revision for revision, _ in store.watches] == [4]
+
+
+def test_a_listing_that_shows_the_restore_is_not_repeated():
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = make_watch(store, clock)
+    watch.start()
+    watch.store_restored()
+    [reply] = store.lists
+    reply(CallStatus.OK, Listing([], Revision(5)))
+    assert seen == [("listed", 5)]
+    assert [revision for revision, _ in store.watches] == [5]
+
+
+def test_a_restore_during_an_outage_starts_one_sequence_of_calls():
+    store, clock = ScriptedStore(), Clock()
+    watch, _, events = make_watch(store, clock)
+    watch.start()
+    store.lists.pop()(CallStatus.LOST, None)
+    watch.store_restored()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    clock.advance(5.0)
+    assert store.lists == []
+    assert len(store.watches) == 1
+    assert events == ["store_lost", "store_regained"]
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -163,6 +163,19 @@
     run_until(lambda: (kind, name) in system.store.objects)
 
 
+def test_a_configuration_written_after_a_restore_is_in_force(system):
+    """It gets the revision of the last configuration before the restore."""
+    copy = system.store.copy()
+    for port in (9001, 9002):
+        system.configure({BOARD: "board", VAULT: "vault", port: "board"})
+        assert open_when_in_force(system, port) < IN_FORCE_S
+    revision = system.store.objects["config", "main"]["meta"]["revision"]
+    system.store.restore(copy)
+    system.configure({BOARD: "board", VAULT: "vault", 9003: "board"})
+    assert system.store.objects["config", "main"]["meta"]["revision"] == revision
+    assert open_when_in_force(system, 9003) < IN_FORCE_S
+
+
 def test_dead_flows_are_reset_once_their_upstream_is_known_to_be_new(system):
     [flow] = open_flows(system, 1, VAULT)
     ip = f"{system.network}.2.4"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -154,6 +154,33 @@
     assert calls.requests[0][1].endswith("?watch=3&wait_ms=10000")
 
 
+def test_an_answer_from_before_a_restore_counts_as_lost():
+    """It was delayed; what it says may be gone from the store."""
+    store, calls = store_with(
+        (200, {"items": [], "current_rev": 9}),
+        (200, {"items": [item("10.0.0.1", 30, SPEC)], "current_rev": 30}),
+        (201, item("10.0.0.1", 30, SPEC)),
+    )
+    calls.eras = ["8", "7", "7"]
+    replies, reply = record_replies()
+    store.list(Kind.UPSTREAMS, reply)
+    store.list(Kind.UPSTREAMS, reply)
+    store.create(Kind.UPSTREAMS, "10.0.0.1", ENTRY, reply)
+    statuses = [status for status, _ in replies]
+    assert statuses == [CallStatus.OK, CallStatus.LOST, CallStatus.LOST]
+
+
+def test_pages_from_before_and_after_a_restore_are_not_joined():
+    store, calls = store_with(
+        (200, {"items": [item("a", 3, SPEC)], "more": True, "current_rev": 30}),
+        (200, {"items": [item("b", 4, SPEC)], "current_rev": 9}),
+    )
+    calls.eras = ["7", "8"]
+    replies, reply = record_replies()
+    store.list(Kind.UPSTREAMS, reply)
+    assert replies == [(CallStatus.LOST, None)]
+
+
 def manifest(version: int, port: int) -> dict[str, Any]:
     route = {"hostname": "10.0.9.1", "path_prefix": f"/{port}/", "service": "board"}
     return {"version": version, "routes": [route]}
