Keep running upstreams whose entries a restored store lacks

What callers saw: right after the store came back, open flows of upstreams that had joined within the age of the copy were reset, and new flows did not go there until the agents' next announcements.

Cause: the balancer compared the first listing after the restore with the entries from before it and took each missing entry for a removal.

Change: the first listing of a new era removes nothing.

--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -211,7 +211,7 @@
     def store_restored(self, era: Era) -> None:
         """Reads the configuration and the upstreams again."""
         super().store_restored(era)
-        self.registry.store_restored()
+        self.registry.store_restored(era)
 
     def fetch_snapshot(self, node: NodeIp, version: ConfigVersion) -> None:
         """Requests a snapshot from another balancer.
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -24,6 +24,7 @@
 from bramleydyke.direct.store import (
     CallStatus,
     Changes,
+    Era,
     Kind,
     Listing,
     Store,
@@ -46,8 +47,9 @@
         on_listed: Called after each full listing of the configuration or of
             the upstreams, which may bring many changes at once.
         watches: Watches of the configuration and the upstreams.
-        listed: Lifetime in the stored entry of each agent that has one; 0 if
-            the entry is unreadable.
+        listed: Stored entry of each agent that has one.
+        restored_era: New era of the store, until the upstreams are listed
+            again.
         resumed_at: End of the last pause of this process, in seconds.
         stored_version: Version of the configuration that the store returned
             last; 0 before the first one.
@@ -65,7 +67,8 @@
     on_listed: Callable[[], None] = lambda: None
     watches: list[KindWatch] = field(default_factory=list)
     stopped: bool = False
-    listed: dict[NodeIp, Lifetime] = field(default_factory=dict)
+    listed: dict[NodeIp, StoredObject] = field(default_factory=dict)
+    restored_era: Era | None = None
     resumed_at: float = float("-inf")
     stored_version: ConfigVersion = ConfigVersion(0)
 
@@ -104,8 +107,13 @@
         for watch in self.watches:
             watch.poll_all()
 
-    def store_restored(self) -> None:
-        """Reads everything again, because the store has lost changes."""
+    def store_restored(self, era: Era) -> None:
+        """Reads everything again, because the store has lost changes.
+
+        Args:
+            era: New era of the store.
+        """
+        self.restored_era = era
         for watch in self.watches:
             watch.store_restored()
 
@@ -194,12 +202,15 @@
     # Upstreams.
 
     def _upstreams_listed(self, listing: Listing, called_at: float) -> None:
-        earlier, self.listed = self.listed, {}
+        earlier = dict(self.listed)
+        self.listed.clear()
         for stored in listing.objects:
             self._apply_stored_upstream(stored)
-        for node in earlier.keys() - self.listed.keys():
-            self._entry_removed(node, earlier[node], reason="not_listed")
-        # A listing from before a pause lacks upstreams that joined during it.
+        era, self.restored_era = self.restored_era, None
+        # A copy of the store may lack entries of running upstreams.
+        if era is None:
+            for node in earlier.keys() - self.listed.keys():
+                self._entry_removed(node, _lifetime(earlier[node]), reason="not_listed")
         self.directory.complete = called_at >= self.resumed_at
         self.on_listed()
 
@@ -210,7 +221,7 @@
         for change in changes.changes:
             if change.removed:
                 node = NodeIp(change.object.name)
-                lifetime = self.listed.pop(node, Lifetime(0))
+                lifetime = _lifetime(self.listed.pop(node, None))
                 self._entry_removed(node, lifetime, reason="removed")
             else:
                 self._apply_stored_upstream(change.object)
@@ -227,10 +238,8 @@
             self.record("upstream_removed", agent=node, reason=reason)
 
     def _apply_stored_upstream(self, stored: StoredObject) -> None:
-        readable = isinstance(stored.value, UpstreamEntry)
-        lifetime = stored.value.lifetime if readable else Lifetime(0)
-        self.listed[NodeIp(stored.name)] = lifetime
-        if not readable:
+        self.listed[NodeIp(stored.name)] = stored
+        if not isinstance(stored.value, UpstreamEntry):
             return
         announcement = stored.value.announcement()
         if announcement.node != stored.name:
@@ -310,3 +319,9 @@
     def _add_stored_balancer(self, stored: StoredObject) -> None:
         if isinstance(stored.value, BalancerEntry):
             self.gossip.add_peer(stored.value.node, now=self.clock.seconds())
+
+
+def _lifetime(stored: StoredObject | None) -> Lifetime:
+    """Returns the lifetime in an entry; 0 if it is missing or unreadable."""
+    readable = stored is not None and isinstance(stored.value, UpstreamEntry)
+    return stored.value.lifetime if readable else Lifetime(0)
--- a/src/bramleydyke/standins/platform_vm/store.py
+++ b/src/bramleydyke/standins/platform_vm/store.py
@@ -84,6 +84,13 @@
         self.operator_objects[kind, name] = spec
         self._store(kind, name, spec)
 
+    def fail_watches(self) -> None:
+        """Ends all pending watches with 503, as an outage does."""
+        for pending in self.watches:
+            pending.timer.cancel()
+            pending.answer(self._reply(503))
+        self.watches.clear()
+
     def copy(self) -> StoreCopy:
         """Returns a copy of the contents, for ``restore``."""
         return StoreCopy(self.revision, dict(self.objects), list(self.history))
--- a/tests/direct/test_registry.py
+++ b/tests/direct/test_registry.py
@@ -8,7 +8,10 @@
 from network import SERVICE, ZONE
 from twisted.internet.task import Clock
 
-from bramleydyke.direct.constants import BALANCER_LIST_S, ENTRY_EXPIRY_S
+from bramleydyke.direct.constants import (
+    BALANCER_LIST_S,
+    ENTRY_EXPIRY_S,
+)
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.gossip import Gossip
@@ -19,6 +22,7 @@
     CallStatus,
     Change,
     Changes,
+    Era,
     Kind,
     Listing,
     Revision,
@@ -224,3 +228,27 @@
     clock.advance(5.0)
     registry.watches[0].changed(Changes([], Revision(8)), called_at)
     assert registry.routes.confirmed_at == called_at
+
+
+def restore(registry: Registry, *objects: StoredObject) -> None:
+    """Lets the store return as a copy with these upstream entries."""
+    registry.store_restored(Era(2))
+    registry.watches[1].listed(
+        Listing(list(objects), Revision(3)), registry.clock.seconds()
+    )
+
+
+def test_a_running_upstream_whose_entry_was_lost_in_a_restore_is_kept():
+    """Guards against resets of its flows until the next announcement."""
+    registry = start_registry(Clock(), RecordingStore())
+    restore(registry, stored(announcement(ALIVE, 5)))
+    entries = registry.directory.entries
+    assert not registry.directory.lifetime_ended(GONE, 5)
+    assert entries[GONE].announcement.state is UpstreamState.READY
+
+
+def test_a_removal_after_a_restore_ends_an_upstream():
+    registry = start_registry(Clock(), RecordingStore())
+    restore(registry, *[stored(announcement(node, 5)) for node in (GONE, ALIVE)])
+    removals_as_changes(registry, GONE)
+    assert registry.directory.lifetime_ended(GONE, 5)
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -176,6 +176,39 @@
     assert open_when_in_force(system, 9003) < IN_FORCE_S
 
 
+def entry_of(system, ip):
+    """Returns the stored entry of an agent, or None."""
+    stored = system.store.objects.get(("bramleydyke-upstreams", ip))
+    return None if stored is None else stored["spec"]
+
+
+def restore_after_outage(system, copy):
+    """Lets the store be away for a moment and come back as a copy."""
+    system.store.down = True
+    system.store.fail_watches()
+    ends_at = time.monotonic() + 0.3
+    run_until(lambda: time.monotonic() > ends_at)
+    system.store.down = False
+    system.store.restore(copy)
+
+
+def test_flows_of_an_upstream_that_a_restored_store_lacks_stay_open(system):
+    copy = system.store.copy()
+    for number in (1, 2, 3):
+        system.upstreams[f"{system.network}.2.{number}"].draining = True
+    system.add_upstream(9, "board")
+    ip = f"{system.network}.2.9"
+    run_until(lambda: entry_of(system, ip) is not None)
+    balancers = [system.nodes[f"{system.network}.1.{number}"] for number in (1, 2)]
+    run_until(lambda: all(ip in node.registry.listed for node in balancers))
+    flows = open_flows(system, 12)
+    restore_after_outage(system, copy)
+    run_until(lambda: all(node.counts.get("store.restored") for node in balancers))
+    run_until(lambda: all(not node.registry.restored_era for node in balancers))
+    send_requests(flows, b"q")
+    assert {flow.state for flow in flows} == {"open"}
+
+
 def test_dead_flows_are_reset_once_their_upstream_is_known_to_be_new(system):
     [flow] = open_flows(system, 1, VAULT)
     ip = f"{system.network}.2.4"
