Write entries again that the store has lost in a restore

What callers saw: nothing at once. The store kept older entries: running upstreams without one, drained ones as ready, ended ones as running. A process that started later believed them.

Cause: EntryWriter took an object for stored from the answer to its write on, so it never compared it with the store again; agents call the store only every 10 s and learned of the restore as late.

Change: after a restore, every process reads its own object again and writes it if it differs. Balancers compare what they know with the entries in the store and tell agents of outdated ones (EntryOutdated) every 0.4 s for 2 s. Until then a directory does not count as complete. An agent that has recalled an entry does not recall an older one later.

--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -15,9 +15,10 @@
 from bramleydyke.direct.constants import AGENT_LINGER_S, BALANCER_LIST_S
 from bramleydyke.direct.entries import BalancerEntry, UpstreamEntry, entry_of
 from bramleydyke.direct.entry_writer import EntryWriter
+from bramleydyke.direct.messages import EntryOutdated
 from bramleydyke.direct.ports import PacketCodec
 from bramleydyke.direct.settings import DirectSettings
-from bramleydyke.direct.store import CallStatus, Kind, Listing, StoredObject
+from bramleydyke.direct.store import CallStatus, Era, Kind, Listing, StoredObject
 from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.endpoints import host_of, parse_endpoint, port_of
@@ -46,6 +47,7 @@
         upstream: Address of the upstream, as IP address and port.
         caller_port: UDP port to which packets for callers are sent.
         entry_writer: Keeps the upstream's entry in the store up to date.
+        checked_era: Newest era of the store in which the entry was read again.
         egress_socket: Socket for packets to and from the upstream and to
             callers.
     """
@@ -77,7 +79,9 @@
             deliver=self._send_to_upstream,
             count=self.count,
             record=self.log.record,
+            on_entry_outdated=self.on_entry_outdated,
         )
+        self.checked_era = Era(0)
         self.entry_writer = EntryWriter(
             kind=Kind.UPSTREAMS,
             name=own_ip,
@@ -151,6 +155,23 @@
         self.role.upstream_ended(upstream, now=self.clock.seconds())
         self._store_entry()
 
+    def store_restored(self, era: Era) -> None:
+        """Writes the entry again if the store has lost it."""
+        super().store_restored(era)
+        self._check_entry(era)
+
+    def on_entry_outdated(self, message: EntryOutdated) -> None:
+        """Writes the entry again if a balancer has found an older one."""
+        self._check_entry(message.era)
+        self.entry_writer.newer_seen(message.revision)
+
+    def _check_entry(self, era: Era) -> None:
+        """Reads the entry again, once in each era of the store."""
+        if era > self.checked_era:
+            self.checked_era = era
+            self.count("store.entry_checked")
+            self.entry_writer.store_restored()
+
     def gauges(self) -> dict[str, float]:
         """Returns the current value of each gauge, by name."""
         now = self.clock.seconds()
--- a/src/bramleydyke/daemons/direct_balancer.py
+++ b/src/bramleydyke/daemons/direct_balancer.py
@@ -116,6 +116,7 @@
             directory=directory,
             on_announcement=self.role.apply_announcement,
             gossip=gossip,
+            send=self.send,
             count=self.count,
             record=self.log.record,
             on_listed=self._start_packets_when_known,
@@ -209,9 +210,10 @@
         super().close()
 
     def store_restored(self, era: Era) -> None:
-        """Reads the configuration and the upstreams again."""
+        """Reads everything again and restores what the store has lost."""
         super().store_restored(era)
         self.registry.store_restored(era)
+        self.entry_writer.store_restored()
 
     def fetch_snapshot(self, node: NodeIp, version: ConfigVersion) -> None:
         """Requests a snapshot from another balancer.
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
 from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.messages import (
     Announcement,
+    EntryOutdated,
     Forward,
     HolderQuery,
     Load,
@@ -72,6 +74,8 @@
         view: State of the upstream according to its reports.
         started_at: Start of this process, in seconds.
         deliver: Sends a datagram to the upstream.
+        on_entry_outdated: Called when a balancer has found an outdated entry
+            of this agent in the store.
         flows: Flows that the upstream holds or is opening.
         probes: Unanswered probes, by flow.
         admission: Decides which new flows open at the upstream, and when.
@@ -89,6 +93,7 @@
     deliver: Deliver
     count: Count
     record: Record
+    on_entry_outdated: Callable[[EntryOutdated], None] = lambda message: None
     flows: UpstreamFlows = field(default_factory=UpstreamFlows)
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
     admission: Admission = field(init=False)
@@ -135,6 +140,10 @@
                     self._established(sender, message, packet, now=now)
             case Relayed() if message.announcement.node == self.node:
                 self._reminded(message.announcement, now=now)
+            case EntryOutdated():
+                self.announcer.add_balancer(sender)
+                self.announcer.announce_to(sender, now=now)
+                self.on_entry_outdated(message)
             case _:
                 self.count(counter_name(ErrorKind.BAD_FRAME))
 
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -311,6 +311,15 @@
 upstream has ended.
 """
 
+LOST_ENTRY_S = 2.0
+"""Time after a restore of the store in which lost entries are written again.
+
+Until then the entries in the store are incomplete.
+"""
+
+LOST_ENTRY_CHECK_S = 0.4
+"""Interval at which balancers look for lost entries in that time."""
+
 # Shutdown.
 
 BALANCER_LINGER_S = 1.25
--- a/src/bramleydyke/direct/entry_writer.py
+++ b/src/bramleydyke/direct/entry_writer.py
@@ -2,7 +2,8 @@
 
 No other process writes the object, but a write whose answer was lost may take
 effect seconds later. Each write names the revision that it replaces, so a late
-write cannot overwrite a newer one.
+write cannot overwrite a newer one. A restored store may hold an older object
+or none, so the object is read again and, if it differs, written again.
 """
 
 from __future__ import annotations
@@ -26,15 +27,18 @@
     Attributes:
         kind: Kind of the object.
         name: Name of the object: the IP address of this VM.
-        on_found: Called with the object that a read finds at the start or
-            after a write whose result was unknown.
+        on_found: Called with the object that the first read finds.
         desired: Value to store; None if the object must not exist.
         has_desired: True once ``set_value`` was called. Nothing is written
             before.
         stored: Object in the store according to the last answer; None if it
             does not exist.
-        known: True if ``stored`` is current. False before the first read and
-            after a write whose result is unknown.
+        known: True if ``stored`` is current. False before the first read,
+            after a write whose result is unknown and after a restore of the
+            store.
+        has_read: True after the first read.
+        read_again: True if the store was restored during the current call,
+            whose answer may not show the restored object.
         busy: True during a call and during the pause before a retry.
         failures: Number of consecutive failed calls, which lengthen the pause.
     """
@@ -50,6 +54,8 @@
     has_desired: bool = False
     stored: StoredObject | None = None
     known: bool = False
+    has_read: bool = False
+    read_again: bool = False
     busy: bool = False
     stopped: bool = False
     failures: int = 0
@@ -69,6 +75,23 @@
         self.has_desired = True
         self._reconcile()
 
+    def store_restored(self) -> None:
+        """Reads the object again, which the store may have lost."""
+        self.known = False
+        self.read_again = self.busy
+        self._reconcile()
+
+    def newer_seen(self, revision: Revision) -> None:
+        """Reads the object again if this revision of it is not known here.
+
+        After a restore a late write may replace a newer one, because the
+        revision that it names was assigned twice.
+        """
+        known = self.stored is not None and self.stored.revision >= revision
+        if self.known and not known:
+            self.known = False
+            self._reconcile()
+
     def is_up_to_date(self) -> bool:
         """Returns whether the store is known to hold the desired value."""
         stored = None if self.stored is None else self.stored.value
@@ -78,10 +101,11 @@
         """Makes the next call if the store does not hold the desired value."""
         if self.stopped or self.busy or not self.has_desired or self.is_up_to_date():
             return
-        self.busy = True
         if not self.known:
             self._read()
-        elif self.desired is None:
+            return
+        self.busy = True
+        if self.desired is None:
             assert self.stored is not None
             self.store.remove(
                 self.kind, self.name, self.stored.revision, self._on_removed
@@ -98,13 +122,15 @@
         if self.stopped:
             return
         self.busy = True
+        self.read_again = False
         self.store.get(self.kind, self.name, self._on_read)
 
     def _on_read(self, status: CallStatus, stored: StoredObject | None) -> None:
         if status not in (CallStatus.OK, CallStatus.NOT_FOUND):
             self._retry(status)
             return
-        first = not self.known
+        first = not self.has_read
+        self.has_read = True
         self._set_stored(stored)
         if first and stored is not None:
             self.on_found(stored)
@@ -131,7 +157,7 @@
 
     def _set_stored(self, stored: StoredObject | None) -> None:
         self.stored = stored
-        self.known = True
+        self.known = not self.read_again
         self.busy = False
         self.failures = 0
 
--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -193,11 +193,16 @@
             return
         self.polls += 1
         if self.polls % POLLS_PER_FULL_POLL:
-            on_poll = partial(self._on_poll, self.restores, self.clock.seconds())
-            self.store.watch(self.kind, self.revision, 0.0, on_poll)
+            self.poll_changes()
         else:
             self.poll_all()
 
+    def poll_changes(self) -> None:
+        """Asks for the changes so far, beside the watch."""
+        if not self.stopped and not self.lost:
+            on_poll = partial(self._on_poll, self.restores, self.clock.seconds())
+            self.store.watch(self.kind, self.revision, 0.0, on_poll)
+
     def poll_all(self) -> None:
         """Lists all objects, beside the watch."""
         if not self.stopped and not self.lost:
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bramleydyke.direct.store import Era, Revision
 from bramleydyke.direct.types import (
     ConfigVersion,
     FlowTuple,
@@ -189,6 +190,20 @@
     announcement: Announcement
 
 
+class EntryOutdated(Message, tag=14):
+    """Balancer to agent: the store's entry is older than what is known.
+
+    Sent after the store was restored from a copy. The agent writes its entry
+    again and announces its upstream to the sender.
+    """
+
+    era: Era
+    """Era in which the balancer has read the entry."""
+
+    revision: Revision
+    """Revision of the entry; 0 if there is none."""
+
+
 MeshMessage = (
     Forward
     | Offer
@@ -203,6 +218,7 @@
     | Announcement
     | Notice
     | Relayed
+    | EntryOutdated
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -12,6 +12,7 @@
     CONFIG_POLL_PER_PEER_S,
     CONFIG_POLL_S,
     ENTRY_EXPIRY_S,
+    LOST_ENTRY_S,
     STORE_BACKOFF_CAP_S,
     UPSTREAM_PAUSE_S,
 )
@@ -19,7 +20,8 @@
 from bramleydyke.direct.entries import BalancerEntry, UpstreamEntry
 from bramleydyke.direct.gossip import Gossip
 from bramleydyke.direct.kind_watch import KindWatch
-from bramleydyke.direct.ports import Count, Record
+from bramleydyke.direct.lost_entries import LostEntries
+from bramleydyke.direct.ports import Count, Record, Send
 from bramleydyke.direct.routes import Routes, RouteSet
 from bramleydyke.direct.store import (
     CallStatus,
@@ -48,9 +50,12 @@
             the upstreams, which may bring many changes at once.
         watches: Watches of the configuration and the upstreams.
         listed: Stored entry of each agent that has one.
+        lost_entries: Repairs entries after a restore of the store.
         restored_era: New era of the store, until the upstreams are listed
             again.
-        resumed_at: End of the last pause of this process, in seconds.
+        complete_from: Only calls made from this time on, in seconds, show all
+            upstreams: not those from before a pause of this process, or from
+            before agents have written again what a restored store had lost.
         stored_version: Version of the configuration that the store returned
             last; 0 before the first one.
     """
@@ -62,16 +67,29 @@
     directory: Directory
     on_announcement: Callable[..., bool]
     gossip: Gossip
+    send: Send
     count: Count
     record: Record
     on_listed: Callable[[], None] = lambda: None
     watches: list[KindWatch] = field(default_factory=list)
     stopped: bool = False
     listed: dict[NodeIp, StoredObject] = field(default_factory=dict)
+    lost_entries: LostEntries = field(init=False)
     restored_era: Era | None = None
-    resumed_at: float = float("-inf")
+    complete_from: float = float("-inf")
     stored_version: ConfigVersion = ConfigVersion(0)
 
+    def __post_init__(self) -> None:
+        self.lost_entries = LostEntries(
+            directory=self.directory,
+            listed=self.listed,
+            clock=self.clock,
+            send=self.send,
+            count=self.count,
+            record=self.record,
+            poll=self._poll_upstreams,
+        )
+
     def start(self) -> None:
         """Starts the watches, the lists of balancers and entry expiry."""
         self.watches = [
@@ -97,13 +115,13 @@
 
     def stop(self) -> None:
         """Stops making calls to the store."""
-        self.stopped = True
+        self.stopped = self.lost_entries.stopped = True
         for watch in self.watches:
             watch.stop()
 
     def resumed(self) -> None:
         """Reads everything again after a pause of this process."""
-        self.resumed_at = self.clock.seconds()
+        self.complete_from = max(self.complete_from, self.clock.seconds())
         for watch in self.watches:
             watch.poll_all()
 
@@ -114,6 +132,8 @@
             era: New era of the store.
         """
         self.restored_era = era
+        self.directory.complete = False
+        self.complete_from = self.clock.seconds() + LOST_ENTRY_S
         for watch in self.watches:
             watch.store_restored()
 
@@ -207,13 +227,18 @@
         for stored in listing.objects:
             self._apply_stored_upstream(stored)
         era, self.restored_era = self.restored_era, None
-        # A copy of the store may lack entries of running upstreams.
         if era is None:
             for node in earlier.keys() - self.listed.keys():
                 self._entry_removed(node, _lifetime(earlier[node]), reason="not_listed")
-        self.directory.complete = called_at >= self.resumed_at
+        else:
+            # The copy may lack entries of running upstreams.
+            self.lost_entries.start(era)
+        self.directory.complete = called_at >= self.complete_from
         self.on_listed()
 
+    def _poll_upstreams(self) -> None:
+        self.watches[1].poll_changes()
+
     def _upstreams_lost(self) -> None:
         self.directory.complete = False
 
@@ -225,6 +250,9 @@
                 self._entry_removed(node, lifetime, reason="removed")
             else:
                 self._apply_stored_upstream(change.object)
+        listed = self.restored_era is None and not self.watches[1].lost
+        if listed and called_at >= self.complete_from:
+            self.directory.complete = True
 
     def _entry_removed(self, node: NodeIp, lifetime: Lifetime, *, reason: str) -> None:
         """Marks an upstream as gone.
--- a/tests/direct/test_entry_writer.py
+++ b/tests/direct/test_entry_writer.py
@@ -134,3 +134,102 @@
         writer.set_value("a")
         advance(clock, 0.1)
     assert store.history == ["a"]
+
+
+def test_an_entry_that_the_store_has_lost_is_written_again():
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    writer = make_writer(store, clock, random.Random(1))
+    writer.set_value("a")
+    advance(clock, 0.1)
+    store.object = None
+    writer.store_restored()
+    assert not writer.is_up_to_date()
+    advance(clock, 0.1)
+    assert store.object is not None and store.object.value == "a"
+    assert writer.is_up_to_date()
+
+
+def test_an_older_entry_of_a_restored_store_is_replaced():
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    recalled = []
+    writer = make_writer(store, clock, random.Random(1), on_found=recalled.append)
+    for value in ("a", "b"):
+        writer.set_value(value)
+        advance(clock, 0.1)
+    store.object = StoredObject("n", Revision(1), "a")
+    store.revision = 1
+    writer.store_restored()
+    advance(clock, 0.1)
+    assert store.object.value == "b"
+    assert recalled == []
+
+
+def test_a_removed_entry_that_a_restored_store_has_again_is_removed():
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    writer = make_writer(store, clock, random.Random(1))
+    for value in ("a", None):
+        writer.set_value(value)
+        advance(clock, 0.1)
+    store.object = StoredObject("n", Revision(1), "a")
+    writer.store_restored()
+    advance(clock, 0.1)
+    assert store.object is None
+
+
+def test_an_unchanged_entry_is_not_written_after_a_restore():
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    writer = make_writer(store, clock, random.Random(1))
+    writer.set_value("a")
+    advance(clock, 0.1)
+    writer.store_restored()
+    advance(clock, 0.1)
+    assert store.history == ["a"]
+    assert writer.is_up_to_date()
+
+
+def test_the_entry_of_an_earlier_process_is_recalled_only_once():
+    """After a restore the store may hold an older entry than was recalled."""
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    store.object = StoredObject("n", Revision(4), "draining")
+    recalled = []
+    writer = make_writer(store, clock, random.Random(1), on_found=recalled.append)
+    writer.start()
+    advance(clock, 0.1)
+    store.object = StoredObject("n", Revision(3), "ready")
+    writer.store_restored()
+    advance(clock, 0.1)
+    assert [stored.value for stored in recalled] == ["draining"]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_last_value_stays_through_restores_of_the_store(seed):
+    """Restores come during calls and pauses and before answers to writes."""
+    print(f"seed {seed}")
+    random_source = random.Random(seed)
+    clock = Clock()
+    store = FakeStore(clock, random_source)
+    writer = make_writer(store, clock, random_source)
+    writer.start()
+    copies = [(store.object, store.revision)]
+    for value in ["a1", "a2", None, "b1", "b2", "b3"]:
+        store.faulty = random_source.random() < 0.5
+        writer.set_value(value)
+        advance(clock, random_source.choice([0.0, 0.01, 0.5, 2.0]))
+        copies.append((store.object, store.revision))
+        if random_source.random() < 0.6:
+            store.object, store.revision = random_source.choice(copies)
+            writer.store_restored()
+            advance(clock, random_source.choice([0.0, 0.01, 2.0]))
+    store.faulty = False
+    advance(clock, 8.0)
+    # A delayed write may have replaced the last one after a restore.
+    writer.newer_seen(Revision(0) if store.object is None else store.object.revision)
+    advance(clock, 1.0)
+    assert store.object is not None
+    assert store.object.value == "b3"
+    assert writer.is_up_to_date()
--- a/tests/direct/test_registry.py
+++ b/tests/direct/test_registry.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 from network import SERVICE, ZONE
 from twisted.internet.task import Clock
@@ -11,11 +12,14 @@
 from bramleydyke.direct.constants import (
     BALANCER_LIST_S,
     ENTRY_EXPIRY_S,
+    LOST_ENTRY_CHECK_S,
+    LOST_ENTRY_S,
 )
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.gossip import Gossip
-from bramleydyke.direct.messages import Announcement
+from bramleydyke.direct.lost_entries import is_outdated
+from bramleydyke.direct.messages import Announcement, EntryOutdated
 from bramleydyke.direct.registry import Registry
 from bramleydyke.direct.routes import Routes
 from bramleydyke.direct.store import (
@@ -36,10 +40,17 @@
 
 
 class RecordingStore:
-    """Store in which every entry exists; records removals."""
+    """Store in which every entry exists; records removals.
+
+    Attributes:
+        sent: Messages that the registry has sent to agents.
+        watched: Revision of each call for changes.
+    """
 
     def __init__(self) -> None:
         self.removed = []
+        self.sent = []
+        self.watched = []
 
     def get(self, kind, name, reply):
         reply(CallStatus.OK, StoredObject(name, Revision(7), "entry"))
@@ -53,6 +64,7 @@
 
     def watch(self, kind, revision, wait_s, reply):
         """Does not answer."""
+        self.watched.append((kind, revision, reply))
 
 
 def announcement(node: NodeIp, lifetime: int) -> Announcement:
@@ -70,6 +82,7 @@
 
 def start_registry(clock: Clock, store: RecordingStore) -> Registry:
     directory = Directory(ZONE)
+    sent = store.sent
     routes = Routes()
     gossip = Gossip(
         node=NodeIp("10.0.1.1"),
@@ -90,6 +103,7 @@
             found, now=now, from_agent=False
         ),
         gossip=gossip,
+        send=lambda node, message: sent.append((node, message)),
         count=lambda name: None,
         record=lambda event, **inputs: None,
     )
@@ -252,3 +266,63 @@
     restore(registry, *[stored(announcement(node, 5)) for node in (GONE, ALIVE)])
     removals_as_changes(registry, GONE)
     assert registry.directory.lifetime_ended(GONE, 5)
+
+
+def test_agents_are_told_which_entries_a_restore_has_lost():
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    restore(registry, stored(announcement(ALIVE, 5)))
+    assert store.sent == [(GONE, EntryOutdated(Era(2), Revision(0)))]
+    clock.advance(LOST_ENTRY_CHECK_S)
+    assert len(store.sent) == 2
+    found = Change(stored(announcement(GONE, 5)), removed=False)
+    registry.watches[1].changed(Changes([found], Revision(8)), clock.seconds())
+    clock.advance(LOST_ENTRY_CHECK_S)
+    assert len(store.sent) == 2
+
+
+def test_a_directory_is_complete_once_lost_entries_had_time_to_return():
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    restore(registry, stored(announcement(ALIVE, 5)))
+    answers = []
+    for _ in range(round(LOST_ENTRY_S / LOST_ENTRY_CHECK_S)):
+        assert not registry.directory.complete
+        clock.advance(LOST_ENTRY_CHECK_S)
+        answers += [reply for kind, _, reply in store.watched if kind is Kind.UPSTREAMS]
+        store.watched.clear()
+        for reply in answers[:-1]:
+            reply(CallStatus.OK, Changes([], Revision(4)))
+    assert not registry.directory.complete
+    answers[-1](CallStatus.OK, Changes([], Revision(4)))
+    assert registry.directory.complete
+
+
+@pytest.mark.parametrize(
+    ("known_state", "known_lifetime", "entry", "expected"),
+    [
+        ("ready", 5, None, True),
+        ("ready", 5, ("ready", 5), False),
+        ("ready", 5, ("ready", 4), True),
+        ("ready", 5, ("draining", 5), False),
+        ("ready", 5, ("ready", 6), False),
+        ("silent", 5, ("ready", 5), False),
+        ("draining", 5, ("ready", 5), True),
+        ("draining", 5, ("draining", 5), False),
+        ("gone", 5, None, False),
+        ("gone", 5, ("ready", 5), True),
+        ("gone", 5, ("draining", 4), True),
+        ("gone", 5, ("ready", 6), False),
+    ],
+)
+def test_entries_that_are_older_than_what_is_known(
+    known_state, known_lifetime, entry, expected
+):
+    def announced(state, lifetime):
+        return msgspec.structs.replace(
+            announcement(GONE, lifetime), state=UpstreamState(state)
+        )
+
+    known = announced(known_state, known_lifetime)
+    found = None if entry is None else entry_of(announced(*entry))
+    assert is_outdated(known, found) is expected
--- a/tests/interleavings/system_model.py
+++ b/tests/interleavings/system_model.py
@@ -100,6 +100,7 @@
             directory=directory,
             on_announcement=self.role.apply_announcement,
             gossip=gossip,
+            send=gossip.send,
             count=ignore,
             record=ignore,
         )
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -29,6 +29,9 @@
 IN_FORCE_S = 3.0
 """Maximum time until a new configuration is in force."""
 
+ENTRIES_BACK_S = 2.0
+"""Maximum time until entries that a restore has lost are stored again."""
+
 
 @pytest.fixture
 def system():
@@ -209,6 +212,30 @@
     assert {flow.state for flow in flows} == {"open"}
 
 
+def test_entries_are_as_before_soon_after_a_restore(system):
+    """A new, a draining, an ended and an unchanged upstream."""
+    new, leaving, ended = (f"{system.network}.2.{number}" for number in (9, 1, 2))
+    run_until(lambda: all(entry_of(system, ip) for ip in system.upstreams))
+    copy = system.store.copy()
+    system.add_upstream(9, "board")
+    system.upstreams[leaving].draining = True
+    system.upstreams[ended].deregister()
+    run_until(lambda: entry_of(system, new) is not None)
+    run_until(lambda: entry_of(system, leaving)["state"] == "draining")
+    run_until(lambda: entry_of(system, ended) is None)
+    before = dict(system.store.objects)
+    restore_after_outage(system, copy)
+    restored_at = time.monotonic()
+    run_until(
+        lambda: all(
+            system.store.objects.get(key, {}).get("spec") == stored["spec"]
+            for key, stored in before.items()
+        )
+    )
+    run_until(lambda: entry_of(system, ended) is None)
+    assert time.monotonic() - restored_at < ENTRIES_BACK_S
+
+
 def test_dead_flows_are_reset_once_their_upstream_is_known_to_be_new(system):
     [flow] = open_flows(system, 1, VAULT)
     ip = f"{system.network}.2.4"
