Remove entries of ended upstreams that a restored store has again

What callers saw: after a restart of balancers, new flows were offered to VMs that had left, until the silence of their agents was noticed.

Cause: the agent had removed the entry and ended; the copy is from before.

Change: at the end of the checks after a restore, the responsible balancer removes entries whose lifetime has ended, on the condition that they have not changed since they were read.

--- a/src/bramleydyke/direct/lost_entries.py
+++ b/src/bramleydyke/direct/lost_entries.py
@@ -44,6 +44,7 @@
     Attributes:
         directory: Upstreams known to this balancer.
         listed: Upstream entries in the store, by the IP address of the agent.
+        remove: Removes the entry of an ended upstream whose agent has not.
         poll: Updates ``listed`` soon, beside the watch, which may pause.
         era: Newest era; the repairs of earlier ones end early.
     """
@@ -54,6 +55,7 @@
     send: Send
     count: Count
     record: Record
+    remove: Callable[[NodeIp], None]
     poll: Callable[[], None]
     era: Era = Era(0)
     stopped: bool = False
@@ -89,3 +91,8 @@
         self.poll()
         if self.clock.seconds() < ends_at:
             self.clock.callLater(LOST_ENTRY_CHECK_S, self._check, era, ends_at)
+            return
+        for node in outdated:
+            known = self.directory.entries[node].announcement
+            if known.state is UpstreamState.GONE:
+                self.remove(node)
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -87,6 +87,7 @@
             send=self.send,
             count=self.count,
             record=self.record,
+            remove=self._remove_ended,
             poll=self._poll_upstreams,
         )
 
@@ -327,13 +328,36 @@
             if self.gossip.is_responsible_for(node, now=now):
                 self._remove(kind, node)
 
-    def _remove(self, kind: Kind, node: NodeIp) -> None:
-        """Reads an entry and removes it unless it changes in between."""
+    def _remove_ended(self, node: NodeIp) -> None:
+        """Removes the entry of an upstream that has ended."""
+
+        def has_ended(stored: StoredObject) -> bool:
+            return self.directory.lifetime_ended(node, _lifetime(stored))
+
+        if self.gossip.is_responsible_for(node, now=self.clock.seconds()):
+            self._remove(Kind.UPSTREAMS, node, condition=has_ended)
+
+    def _remove(
+        self,
+        kind: Kind,
+        node: NodeIp,
+        *,
+        condition: Callable[[StoredObject], bool] = lambda stored: True,
+    ) -> None:
+        """Reads an entry and removes it unless it changes in between.
+
+        Args:
+            kind: Kind of the entry.
+            node: IP address of the VM that wrote it.
+            condition: Returns whether to remove the entry that was read.
+        """
 
         def found(status: CallStatus, stored: StoredObject | None) -> None:
             if status is not CallStatus.OK or stored is None:
                 self.count(f"store.expire.{status.value}")
                 return
+            if not condition(stored):
+                return
             self.record("entry_expired", kind=kind.value, agent=node)
             self.store.remove(kind, node, stored.revision, removed)
 
--- a/tests/direct/test_registry.py
+++ b/tests/direct/test_registry.py
@@ -44,16 +44,18 @@
 
     Attributes:
         sent: Messages that the registry has sent to agents.
+        entry: Object that reads return, if set.
         watched: Revision of each call for changes.
     """
 
     def __init__(self) -> None:
         self.removed = []
         self.sent = []
+        self.entry = None
         self.watched = []
 
     def get(self, kind, name, reply):
-        reply(CallStatus.OK, StoredObject(name, Revision(7), "entry"))
+        reply(CallStatus.OK, self.entry or StoredObject(name, Revision(7), "entry"))
 
     def remove(self, kind, name, revision, reply):
         self.removed.append((kind, name, revision))
@@ -298,6 +300,22 @@
     assert registry.directory.complete
 
 
+@pytest.mark.parametrize(("lifetime", "removed"), [(5, True), (6, False)])
+def test_an_ended_upstream_that_a_restored_store_has_again_is_removed(
+    lifetime, removed
+):
+    """Its agent is gone as well, so nobody else removes the entry."""
+    clock, store = Clock(), RecordingStore()
+    registry = start_registry(clock, store)
+    removals_as_changes(registry, GONE)
+    restore(registry, *[stored(announcement(node, 5)) for node in (GONE, ALIVE)])
+    store.entry = stored(announcement(GONE, lifetime))
+    for _ in range(round(LOST_ENTRY_S / LOST_ENTRY_CHECK_S)):
+        assert store.removed == []
+        clock.advance(LOST_ENTRY_CHECK_S)
+    assert store.removed == [(Kind.UPSTREAMS, GONE, 7)] * removed
+
+
 @pytest.mark.parametrize(
     ("known_state", "known_lifetime", "entry", "expected"),
     [
