Do not confirm the configuration by an older one in the store

Between the return of a restored store and the operator's next write, a balancer could refuse flows of routes that only the lost configuration has.

Cause: each answer of the store confirmed the configuration in force, also one with an older version, and a confirmed configuration proves that a route does not exist.

Evidence: test_an_older_configuration_of_a_restored_store_confirms_nothing failed before.

Change: an answer confirms only if the store's version is not older than the one in force; otherwise store.configuration_outdated is counted.

--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -196,16 +196,28 @@
     # Configuration.
 
     def _routes_listed(self, listing: Listing, called_at: float) -> None:
+        if not listing.objects:
+            self.stored_version = ConfigVersion(0)
         for stored in listing.objects:
             self._apply_stored_routes(stored)
-        self.routes.confirm(now=called_at)
+        self._confirm_routes(called_at)
         self.on_listed()
 
     def _routes_changed(self, changes: Changes, called_at: float) -> None:
         for change in changes.changes:
             if not change.removed:
                 self._apply_stored_routes(change.object)
-        self.routes.confirm(now=called_at)
+        self._confirm_routes(called_at)
+
+    def _confirm_routes(self, called_at: float) -> None:
+        """Confirms the configuration unless the store has an older one.
+
+        A restored store has an older one until the operator writes it again.
+        """
+        if self.stored_version >= self.routes.version:
+            self.routes.confirm(now=called_at)
+        else:
+            self.count("store.configuration_outdated")
 
     def _apply_stored_routes(self, stored: StoredObject) -> None:
         if not isinstance(stored.value, RouteSet):
--- a/tests/direct/test_registry.py
+++ b/tests/direct/test_registry.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from network import SERVICE, ZONE
+from network import SERVICE, ZONE, routes
 from twisted.internet.task import Clock
 
 from bramleydyke.direct.constants import (
@@ -300,6 +300,29 @@
     assert registry.directory.complete
 
 
+def configuration(version: int) -> StoredObject:
+    return StoredObject("main", Revision(version), routes(version))
+
+
+def test_an_older_configuration_of_a_restored_store_confirms_nothing():
+    """Guards against refusals of flows whose route the copy lacks."""
+    clock = Clock()
+    registry = start_registry(clock, RecordingStore())
+    watch = registry.watches[0]
+    watch.listed(Listing([configuration(13)], Revision(9)), clock.seconds())
+    registry.store_restored(Era(2))
+    clock.advance(5.0)
+    watch.listed(Listing([configuration(6)], Revision(4)), clock.seconds())
+    watch.changed(Changes([], Revision(5)), clock.seconds())
+    assert not registry.routes.is_fresh(within=1.0, now=clock.seconds())
+    watch.listed(Listing([], Revision(4)), clock.seconds())
+    assert not registry.routes.is_fresh(within=1.0, now=clock.seconds())
+    written = Change(configuration(13), removed=False)
+    watch.changed(Changes([written], Revision(6)), clock.seconds())
+    assert registry.routes.is_fresh(within=1.0, now=clock.seconds())
+    assert registry.routes.version == 13
+
+
 @pytest.mark.parametrize(("lifetime", "removed"), [(5, True), (6, False)])
 def test_an_ended_upstream_that_a_restored_store_has_again_is_removed(
     lifetime, removed
