--- a/tests/interleavings/direct_model.py
+++ b/tests/interleavings/direct_model.py
@@ -18,7 +18,7 @@
 from bramleydyke.daemons.direct_agent import DirectAgent
 from bramleydyke.direct.agent import Agent
 from bramleydyke.direct.entry_writer import EntryWriter
-from bramleydyke.direct.store import Kind
+from bramleydyke.direct.store import Era, Kind
 from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
 from bramleydyke.direct.upstream_view import Report, UpstreamView
 from bramleydyke.types import ServiceId, UpstreamId
@@ -67,10 +67,13 @@
     _store_entry = DirectAgent._store_entry
     _restore_entry = DirectAgent._restore_entry
     _acknowledge_when_stored = DirectAgent._acknowledge_when_stored
+    on_entry_outdated = DirectAgent.on_entry_outdated
+    _check_entry = DirectAgent._check_entry
     count = observe = record = staticmethod(ignore)
 
     def __init__(self, system: DirectSystem, node: NodeIp) -> None:
         self.log = self
+        self.checked_era = Era(0)
         self.clock = NodeClock()
         self.role = Agent(
             node=node,
@@ -84,11 +87,14 @@
             deliver=ignore,
             count=ignore,
             record=ignore,
+            on_entry_outdated=self.on_entry_outdated,
         )
+        store = system.store.client(node, KINDS)
+        store.on_restored = self._check_entry
         self.entry_writer = EntryWriter(
             kind=Kind.UPSTREAMS,
             name=node,
-            store=system.store.client(node, KINDS),
+            store=store,
             clock=self.clock,
             random_source=random.Random(1),
             count=ignore,
@@ -107,7 +113,8 @@
         return (
             (view.report, view.stored_report, view.ended, self.role.announcer.revision),
             (writer.desired, writer.has_desired, writer.stored, writer.known),
-            (writer.busy, self.clock.fingerprint()),
+            (writer.busy, writer.has_read, writer.read_again, self.checked_era),
+            (writer.store.era, self.clock.fingerprint()),
         )
 
 
@@ -120,7 +127,9 @@
         return (
             sorted((node, entry.announcement) for node, entry in entries),
             sorted(self.registry.listed.items()),
-            (watch.revision, watch.lost, self.role.directory.complete),
+            (watch.revision, watch.lost, watch.listing),
+            (self.registry.restored_era, self.role.directory.complete),
+            (self.registry.store.era, self.registry.lost_entries.era),
             self.clock.fingerprint(),
         )
 
@@ -185,6 +194,8 @@
         """Delivers and answers all that is pending, in order of arrival."""
         for call in list(self.store.late):
             self.store.run_late(call)
+        for balancer in self.balancers.values():
+            balancer.registry.store.observe_era()
         self.answer_calls()
         delivered = 0
         while self.messages:
@@ -199,6 +210,12 @@
         for sent in self.messages:
             text = f"{sent[0]} to {sent[1]}: {sent[2]}"
             steps.append((text, lambda sent=sent: self.deliver(sent)))
+        # Balancers poll the configuration, too, which shows them the era.
+        steps += [
+            (f"{node} sees the restore", balancer.registry.store.observe_era)
+            for node, balancer in self.balancers.items()
+            if balancer.registry.store.era < self.store.era
+        ]
         processes = {**self.balancers, **self.agents}.items()
         clocks = ((node, process.clock) for node, process in processes)
         return steps + self.call_steps() + self.timer_steps(clocks)
--- a/tests/interleavings/store_model.py
+++ b/tests/interleavings/store_model.py
@@ -10,6 +10,7 @@
     CallStatus,
     Change,
     Changes,
+    Era,
     Kind,
     Listing,
     Revision,
@@ -45,12 +46,24 @@
         history: All changes so far; the position is the revision before it.
         calls: Calls that have not been answered.
         late: Effects of writes whose answer was lost.
+        era: Number of restores, plus one.
+        copied: Objects and history of the last copy.
     """
 
     objects: dict[tuple[Kind, str], StoredObject] = field(default_factory=dict)
     history: list[tuple[Kind, Change]] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     late: list[Call] = field(default_factory=list)
+    era: Era = Era(1)
+    copied: tuple[dict, list] = field(default_factory=lambda: ({}, []))
+
+    def take_copy(self) -> None:
+        self.copied = (dict(self.objects), list(self.history))
+
+    def restore(self) -> None:
+        """Returns to the copy, from which pending calls are answered."""
+        self.era = Era(self.era + 1)
+        self.objects, self.history = dict(self.copied[0]), list(self.copied[1])
 
     def client(self, node: str, kinds: set[Kind]) -> StoreClient:
         """Returns a node's access; calls for other kinds get no answer."""
@@ -93,16 +106,29 @@
     def fingerprint(self) -> Hashable:
         calls = sorted(call.label for call in self.calls)
         late = sorted(call.label for call in self.late)
-        return repr((self.history, calls, late))
+        return repr((self.history, calls, late, self.era, self.copied[1]))
 
 
 @dataclass(slots=True)
 class StoreClient:
-    """One node's access to the store; implements ``Store``."""
+    """One node's access to the store; implements ``Store``.
+
+    Attributes:
+        kinds: Kinds of objects for which calls are answered.
+    """
 
     store: StoreModel
     node: str
     kinds: set[Kind]
+    era: Era = Era(0)
+    on_restored: Callable[[Era], None] = lambda era: None
+
+    def observe_era(self) -> None:
+        """Handles the era in an answer, perhaps to a call that is left out."""
+        if self.era < self.store.era:
+            earlier, self.era = self.era, self.store.era
+            if earlier:
+                self.on_restored(self.era)
 
     def list(self, kind, reply, *, stale=False):
         def run():
@@ -115,12 +141,17 @@
         def changes():
             return [c for k, c in self.store.history[revision:] if k is kind]
 
+        def is_lost():
+            return revision > len(self.store.history)
+
         def run():
+            if is_lost():
+                return CallStatus.HISTORY_GONE, None
             newest = Revision(len(self.store.history))
             return CallStatus.OK, Changes(changes(), newest)
 
         def is_ready():
-            return bool(changes())
+            return is_lost() or bool(changes())
 
         self._call(f"watch from {revision}", kind, run, reply, is_ready=is_ready)
 
@@ -157,6 +188,11 @@
         self._call(text, kind, run, reply, writes=True)
 
     def _call(self, text, kind, run, reply, **options):
+        def reply_in_era(status, value):
+            if status is not CallStatus.LOST:
+                self.observe_era()
+            reply(status, value)
+
         if kind in self.kinds:
             label = f"{self.node} {text} {kind.value}"
-            self.store.calls.append(Call(label, run, reply, **options))
+            self.store.calls.append(Call(label, run, reply_in_era, **options))
--- a/tests/interleavings/system_model.py
+++ b/tests/interleavings/system_model.py
@@ -92,8 +92,9 @@
             record=ignore,
             observe=ignore,
         )
+        store = system.store.client(node, kinds)
         self.registry = Registry(
-            store=system.store.client(node, kinds),
+            store=store,
             clock=self.clock,
             random_source=random.Random(1),
             routes=routes,
@@ -104,6 +105,7 @@
             count=ignore,
             record=ignore,
         )
+        store.on_restored = self.registry.store_restored
         self.registry.start()
 
 
--- a/tests/interleavings/test_direct.py
+++ b/tests/interleavings/test_direct.py
@@ -44,6 +44,14 @@
     system.deregister(AGENT)
 
 
+def copy_store(system: DirectSystem) -> None:
+    system.store.take_copy()
+
+
+def restore_store(system: DirectSystem) -> None:
+    system.store.restore()
+
+
 SCRIPTS = {
     "start": [start_agent, report_first],
     "replacement": [end_first, report_second],
@@ -53,6 +61,16 @@
     "agent restart and replacement": [start_agent, report_second],
     "planned agent restart": [pause_agent, start_agent, announce],
     "end and agent restart": [end_first, start_agent, report_second],
+    "drain lost in a restore": [copy_store, report_drain, restore_store],
+    "end lost in a restore": [copy_store, end_first, restore_store],
+    "upstream lost in a restore": [copy_store, report_second, restore_store],
+    "restore and agent restart": [
+        copy_store,
+        report_second,
+        restore_store,
+        start_agent,
+    ],
+    "restore and replacement": [copy_store, end_first, restore_store, report_second],
 }
 """What happens, in this order, between the messages and answers of the nodes.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,9 @@
 QUIET_S = 4.0
 """Time after a fault before time bounds are checked again, in seconds."""
 
+RESTORE_OUTAGE_S = 0.3
+"""Time for which the store is away before it returns as a copy."""
+
 Fault = Callable[[World, float], None]
 """Injects a fault; the second argument is its duration in seconds."""
 
@@ -81,6 +84,22 @@
     record_store_fault(world, 0.0, lambda: None)
 
 
+def store_restored(world: World, seconds: float) -> None:
+    """Restores the store from a copy that is some seconds old."""
+    copy = world.store.copy()
+
+    def go_down() -> None:
+        world.store.down = True
+        world.store.fail_watches()
+
+    def return_as_copy() -> None:
+        world.store.down = False
+        world.store.restore(copy)
+
+    world.call_later(seconds, go_down)
+    record_store_fault(world, seconds + RESTORE_OUTAGE_S, return_as_copy)
+
+
 def record_store_fault(world: World, seconds: float, end: Callable[[], None]) -> None:
     """Records a store fault and calls ``end`` after some seconds."""
 
@@ -167,6 +186,7 @@
     store_down,
     store_loses_answers,
     store_forgets,
+    store_restored,
     proxy_fault(Mode.DELAY),
     proxy_fault(Mode.SILENT),
     proxy_fault(Mode.ONE_WAY),
