--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -318,7 +318,7 @@
     Mutation(
         "trust_listings_from_before_a_pause",
         "registry.py",
-        "self.directory.complete = called_at >= self.resumed_at",
+        "self.directory.complete = called_at >= self.complete_from",
         "self.directory.complete = True",
         "direct",
     ),
@@ -416,10 +416,66 @@
     Mutation(
         "poll_nothing",
         "kind_watch.py",
-        "            self.store.watch(self.kind, self.revision, 0.0, self._on_poll)",
+        "            self.store.watch(self.kind, self.revision, 0.0, on_poll)",
         "            pass",
         "direct",
     ),
+    Mutation(
+        "continue_watches_across_a_restore",
+        "kind_watch.py",
+        "        if not self.listing:\n            self._list()",
+        "        pass",
+        "direct",
+    ),
+    Mutation(
+        "remove_what_a_restored_store_lacks",
+        "registry.py",
+        "        if era is None:",
+        "        if True:",
+        "direct",
+    ),
+    Mutation(
+        "believe_own_writes_after_a_restore",
+        "entry_writer.py",
+        "        self.read_again = self.busy\n        self._reconcile()",
+        "        self.known = True",
+        "direct",
+    ),
+    Mutation(
+        "believe_a_write_during_a_restore",
+        "entry_writer.py",
+        "        self.known = not self.read_again",
+        "        self.known = True",
+        "direct",
+    ),
+    Mutation(
+        "tell_no_agent_of_outdated_entries",
+        "lost_entries.py",
+        "            self.send(node, EntryOutdated(era, revision))",
+        "            pass",
+        "direct",
+    ),
+    Mutation(
+        "leave_entries_of_ended_upstreams",
+        "lost_entries.py",
+        "                self.remove(node)",
+        "                pass",
+        "direct",
+    ),
+    Mutation(
+        "confirm_by_an_older_configuration",
+        "registry.py",
+        "        if self.stored_version >= self.routes.version:",
+        "        if True:",
+        "direct",
+    ),
+    Mutation(
+        "complete_before_lost_entries_return",
+        "registry.py",
+        "        self.complete_from = self.clock.seconds() + LOST_ENTRY_S",
+        "        pass",
+        "direct",
+    ),
 ]
 
 
