--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,9 +12,9 @@
 
 SERVICE = "board"
 PORT = 8443
-BALANCERS = 12
+BALANCERS = 16
 AGENTS = 8
-LONG_FLOWS = 120
+LONG_FLOWS = 160
 
 
 def open_flow(world: World, text: bytes) -> Any:
@@ -63,9 +63,9 @@
     if world.trouble:
         world.kill(agent)
     short = []
-    for number in range(140):
+    for number in range(180):
         short.append(open_flow(world, b"short-%d" % number))
-        world.run(0.0025)
+        world.run(0.002)
     world.run(2.0)
     for flow in short:
         flow.finish()
