--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,11 +7,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from world import ROUTE_IP, World, main  # noqa: E402
+from world import World, main  # noqa: E402
 
 SERVICE = "board"
 PORT = 8443
-NEW = 3
+OLD = (1, 2, 3, 4)
+NEW = 5
 
 
 def case(world: World) -> bool:
@@ -23,10 +24,10 @@
     world.configure({PORT: SERVICE})
     for number in (1, 2):
         world.add_balancer(number)
-    for number in (1, 2, NEW):
+    for number in (*OLD, NEW):
         world.add_agent(number, SERVICE)
     world.run(1.5)
-    for number in (1, 2):
+    for number in OLD:
         world.add_upstream(number, SERVICE)
     ready = world.run_until(
         lambda: max(world.routers.failed_checks.values()) == 0, 10.0
@@ -38,18 +39,14 @@
     # Scale-out: one more upstream. Callers open flows and use each once.
     new = world.add_upstream(NEW, SERVICE)
     ip = f"{world.network}.2.{NEW}"
-    world.run(0.15)
+    world.run(0.05)
     flows = []
-    for number in range(20):
-        flow = world.callers.open((ROUTE_IP, PORT))
-        flow.opened = lambda flow=flow, n=number: flow.request(b"first-%d" % n)
-        flows.append(flow)
-        world.run(0.01)
-    world.run(0.1)
+    for number in range(24):
+        flows.append(world.open_flow(PORT, b"first-%d" % number))
+        world.run(0.006)
+    world.run(0.08)
     for number, flow in enumerate(flows):
-        holder = world.holder(flow)
-        answer = flow.answers.get(b"first-%d" % number)
-        world.note(f"flow {flow.source[1]} {flow.state} at {holder}: {answer!r}")
+        world.note_answer(flow, b"first-%d" % number)
     held = [flow for flow in flows if world.holder(flow) == ip]
     if not held or new.sequence != 1:
         return False
@@ -60,12 +57,11 @@
     world.run(2.6)
     world.note(f"upstream at {ip} has sent {new.sequence} reports")
     for number, flow in enumerate(flows):
-        flow.request(b"second-%d" % number)
+        world.request(flow, b"second-%d" % number)
     world.run(2.5)
     for number, flow in enumerate(flows):
         holder = world.holder(flow)
-        answer = flow.answers.get(b"second-%d" % number)
-        world.note(f"flow {flow.source[1]} {flow.state} at {holder}: {answer!r}")
+        world.note_answer(flow, b"second-%d" % number)
         if flow.state == "reset" and holder is not None:
             world.break_rule(
                 f"FLOW: caller {flow.source[1]} got a reset while {holder} has"
--- a/review/world.py
+++ b/review/world.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -242,6 +243,24 @@
         self.note(f"upstream {upstream.name} of {service} starts at {ip}")
         return upstream
 
+    def request(self, flow: Any, text: bytes) -> None:
+        """Sends a request on an open flow."""
+        self.note(f"caller {flow.source[1]} sends {text.decode()}")
+        flow.request(text)
+
+    def open_flow(self, port: int, text: bytes) -> Any:
+        """Opens a flow that sends one request as soon as it is open."""
+        flow = self.callers.open((ROUTE_IP, port))
+        self.note(f"caller {flow.source[1]} opens a flow to port {port}")
+        flow.opened = lambda: self.request(flow, text)
+        return flow
+
+    def note_answer(self, flow: Any, text: bytes) -> None:
+        """Adds to the record what a caller got for a request."""
+        answer = flow.answers.get(text)
+        state = f"{flow.state} at {self.holder(flow)}"
+        self.note(f"caller {flow.source[1]}, {state}, got {answer!r}")
+
     def holder(self, flow: Any) -> str | None:
         """Returns the address of the running upstream that has a flow open."""
         key = (flow.source, flow.target)
@@ -368,15 +387,22 @@
         folder: Folder of the case, which gets ``record.txt``.
         case: Runs the case; returns False if it could not run.
     """
-    world = World(record=folder / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    world: World | None = None
+    status = COULD_NOT_RUN
     try:
-        ran = case(world)
+        world = World(record=folder / "record.txt")
+        if case(world):
+            status = BROKEN if world.broken else HELD
         world.note_runs()
+    except Exception:
+        traceback.print_exc()
+        status = COULD_NOT_RUN
     finally:
-        world.close()
-    status = COULD_NOT_RUN if not ran else BROKEN if world.broken else HELD
-    words = ["the rule held", "the rule was broken", "the case could not run"]
-    world.note(words[status])
-    print(words[status], *world.broken, sep="\n", flush=True)
+        if world is not None:
+            world.close()
+            words = ["the rule held", "the rule was broken", "the case could not run"]
+            world.note(words[status])
+            print(words[status], *world.broken, sep="\n", flush=True)
     sys.stdout.flush()
     os._exit(status)
