--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from world import ROUTE_IP, World, main  # noqa: E402
+from world import World, main  # noqa: E402
 
 SERVICE = "board"
 PORT = 8443
@@ -23,17 +23,17 @@
 DRAIN_S = 3.0
 """Time after its acknowledgement from which a drain must hold."""
 
-NEW = 3
+OLD = range(1, 8)
+NEW = 8
 
 
 def open_flows(world: World, name: str, count: int) -> None:
     """Opens flows, sends a request on each and closes them."""
     for number in range(count):
-        flow = world.callers.open((ROUTE_IP, PORT))
         text = b"%s-%d" % (name.encode(), number)
-        flow.opened = lambda flow=flow, text=text: flow.request(text)
-        world.run(0.15)
-        world.note(f"flow {flow.source[1]} {flow.state}: {flow.answers.get(text)!r}")
+        flow = world.open_flow(PORT, text)
+        world.run(0.1)
+        world.note_answer(flow, text)
         flow.finish()
         flow.state = "finished"
 
@@ -47,10 +47,10 @@
     world.configure({PORT: SERVICE})
     for number in (1, 2):
         world.add_balancer(number)
-    for number in (1, 2, NEW):
+    for number in (*OLD, NEW):
         world.add_agent(number, SERVICE)
     world.run(1.5)
-    for number in (1, 2):
+    for number in OLD:
         world.add_upstream(number, SERVICE)
     ready = world.run_until(
         lambda: max(world.routers.failed_checks.values()) == 0, 10.0
@@ -85,7 +85,7 @@
     acknowledged_at = world.now()
     world.note(f"{upstream.name} at {ip} says draining and is acknowledged")
     world.run(DRAIN_S + 0.5)
-    open_flows(world, "after", 20)
+    open_flows(world, "after", 60)
     late_s = upstream.last_opening_at - acknowledged_at
     if late_s > DRAIN_S:
         world.break_rule(
