--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,11 +4,10 @@
 
 import sys
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from world import ROUTE_IP, World, main  # noqa: E402
+from world import World, main  # noqa: E402
 
 SERVICE = "board"
 PORT = 8443
@@ -17,13 +16,6 @@
 LONG_FLOWS = 160
 
 
-def open_flow(world: World, text: bytes) -> Any:
-    """Opens a flow that sends one request as soon as it is open."""
-    flow = world.callers.open((ROUTE_IP, PORT))
-    flow.opened = lambda: flow.request(text)
-    return flow
-
-
 def case(world: World) -> bool:
     """Kills an agent once; later restarts it beside a balancer.
 
@@ -47,7 +39,7 @@
     world.run(12.0)
     flows = []
     for number in range(LONG_FLOWS):
-        flows.append(open_flow(world, b"first-%d" % number))
+        flows.append(world.open_flow(PORT, b"first-%d" % number))
         world.run(0.03)
     world.run(1.0)
     if any(flow.state != "open" for flow in flows):
@@ -64,14 +56,15 @@
         world.kill(agent)
     short = []
     for number in range(180):
-        short.append(open_flow(world, b"short-%d" % number))
+        short.append(world.open_flow(PORT, b"short-%d" % number))
         world.run(0.002)
     world.run(2.0)
-    for flow in short:
+    for number, flow in enumerate(short):
+        world.note_answer(flow, b"short-%d" % number)
         flow.finish()
         flow.state = "finished"
     for number, flow in enumerate(flows):
-        flow.request(b"second-%d" % number)
+        world.request(flow, b"second-%d" % number)
     world.run(5.0)
 
     # Planned work, more than 7 s later: a balancer and the agent are stopped
@@ -84,12 +77,11 @@
         world.run_until(lambda: world.routers.failed_checks[balancer.ip] >= 2, 3.0)
         world.run_until(lambda: agent.process is None, 3.0)
     for number, flow in enumerate(flows):
-        flow.request(b"third-%d" % number)
+        world.request(flow, b"third-%d" % number)
     world.run(4.0)
     for number, flow in enumerate(flows):
         holder = world.holder(flow)
-        answer = flow.answers.get(b"third-%d" % number)
-        world.note(f"flow {flow.source[1]} {flow.state} at {holder}: {answer!r}")
+        world.note_answer(flow, b"third-%d" % number)
         if flow.state == "reset" and holder is not None:
             world.break_rule(
                 f"FLOW: caller {flow.source[1]} got a reset while {holder} has"
