Probe unless an agent has the first report of its upstream

What callers saw: resets on open flows of an upstream that had just joined, after a planned restart of the agent beside it. The upstream held the flows and served.

Cause: a restarted agent denied flows that it had not seen if the first report that it got had sequence number 1 or 2, or followed a report of an earlier lifetime. Reports are 1.2 s apart and a restart takes less, so report 2 often is the first one of a new process, and the earlier process had opened flows.

Change: only report 1 shows that the upstream started after this process. It is sent once, and a process that got it has seen all flows since. In all other cases the packet is forwarded as a probe, and the upstream itself tells.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -399,6 +399,13 @@
         "if False:",
         "direct",
     ),
+    Mutation(
+        "take_the_second_report_for_the_first",
+        "upstream_view.py",
+        "FIRST_SEQUENCE = 1\n",
+        "FIRST_SEQUENCE = 2\n",
+        "direct",
+    ),
     Mutation(
         "trust_a_recalled_drain",
         "upstream_view.py",
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -8,11 +8,12 @@
 from bramleydyke.direct.types import Lifetime, UpstreamState
 from bramleydyke.types import ServiceId, UpstreamId
 
-MAX_FIRST_SEQUENCE = 2
-"""Maximum sequence number that shows that the upstream has just started.
+FIRST_SEQUENCE = 1
+"""Sequence number of the first report in each lifetime of an upstream.
 
-If the first report to an agent has a larger number, the upstream may have
-started before the agent.
+An upstream counts all its reports, also those that got no answer. Only the
+first one shows that no earlier process of the agent had a report of the same
+lifetime, after which it would have opened flows.
 """
 
 
@@ -84,9 +85,7 @@
             return False
         if old is None or report.lifetime > old.lifetime:
             self.ended = False
-            self.started_after_agent = (
-                old is not None or report.sequence <= MAX_FIRST_SEQUENCE
-            )
+            self.started_after_agent = report.sequence <= FIRST_SEQUENCE
         self.report = report
         self.reported_at = now
         self.suspected = False
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from codec import flow_tuple, pack
@@ -16,7 +17,7 @@
 )
 from bramleydyke.direct.messages import Offer, encode
 from bramleydyke.direct.round_trip import RoundTrip
-from bramleydyke.direct.types import NodeIp
+from bramleydyke.direct.types import Lifetime, NodeIp
 
 SEEDS = range(20)
 
@@ -515,3 +516,44 @@
         caller.send_request()
     network.run(3.0)
     assert not network.resets
+
+
+@pytest.mark.parametrize("reports", [1, 2, 5])
+@pytest.mark.parametrize("seed", range(5))
+def test_flows_of_a_new_upstream_survive_a_restart_of_its_agent(seed, reports):
+    """Guards against an agent that denies flows it has not seen.
+
+    A report that is not the upstream's first one does not show that the
+    upstream started after the agent: an earlier process may have opened flows.
+    """
+    network = system(seed)
+    new = network.add_upstream("10.0.2.9")
+    network.run((reports - 1) * REPORT_S + 0.01)
+    callers = [network.open_flow() for _ in range(40)]
+    network.run(0.1)
+    held = [caller for caller in callers if network.holder(caller) is new]
+    assert held
+    assert new.sequence == reports
+    network.restart_agent("10.0.2.9", down_s=0.3)
+    network.run(REPORT_S)
+    assert new.sequence == reports + 1
+    assert_answered(network, held)
+
+
+def test_a_late_report_of_an_earlier_lifetime_proves_nothing():
+    """Guards against an agent that denies flows after a late report.
+
+    The report of an upstream that has ended arrives after the agent's restart
+    and before the next report of the running upstream.
+    """
+    network = system(3)
+    node = NodeIp("10.0.2.2")
+    callers = open_flows(network, 30)
+    held = [c for c in callers if network.holder(c) is network.upstreams[node]]
+    assert held
+    late = network.upstreams[node].report()
+    late = replace(late, lifetime=Lifetime(late.lifetime - 500), sequence=90)
+    network.restart_agent(node, down_s=0.3)
+    network.later(0.6, lambda: network.agents[node].report(late, now=network.now))
+    network.run(0.6 + REPORT_S)
+    assert_answered(network, held)
