Count only time in which an agent was asked as its silence

What callers saw: resets on open flows while an agent and a balancer were restarted as planned, more than 7 s after the agent had been killed once. The upstream held the flows; the agent was back 0.3 s later.

Cause: an agent counted as dead after two unanswered messages if the first of them was 4 s ago, whatever lay between. Agents announce themselves to eight balancers. The others had asked the agent once during the kill, then nothing, and took the second unanswered message for 7 s of silence.

The same restart without the earlier silence held.

Change: unanswered messages are one silence only if they are at most 2.5 s apart, and an old silence is not used. A balancer repeats its question every second to an agent that has not answered (AgentChecks), so a real silence is continuous and a short one ends with the next answer.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -406,6 +406,20 @@
         "FIRST_SEQUENCE = 2\n",
         "direct",
     ),
+    Mutation(
+        "count_time_without_questions_as_silence",
+        "directory.py",
+        "        if now - entry.failed_at > MAX_SILENCE_GAP_S:\n    ",
+        "        if False:\n    ",
+        "direct",
+    ),
+    Mutation(
+        "ask_silent_agents_once",
+        "agent_checks.py",
+        "            self.send(node, HolderQuery(service, []))\n",
+        "            pass\n",
+        "direct",
+    ),
     Mutation(
         "trust_a_recalled_drain",
         "upstream_view.py",
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bramleydyke.direct.agent_checks import AgentChecks
 from bramleydyke.direct.constants import (
     MAX_CONFIG_AGE_S,
     MAX_PAUSE_S,
@@ -60,6 +61,7 @@
             before the first one.
         openings: Offers opening packets to agents.
         lookups: Searches for the holders of unknown flows.
+        agent_checks: Repeats questions to agents that have not answered.
     """
 
     node: NodeIp
@@ -77,6 +79,7 @@
     active_at: float | None = None
     openings: Openings = field(init=False)
     lookups: Lookups = field(init=False)
+    agent_checks: AgentChecks = field(init=False)
 
     def __post_init__(self) -> None:
         self.openings = Openings(
@@ -95,6 +98,7 @@
             count=self.count,
             record=self.record,
         )
+        self.agent_checks = AgentChecks(directory=self.directory, send=self.send)
 
     def packet_in(self, datagram: bytes, *, now: float) -> None:
         """Handles a datagram from a caller.
@@ -135,6 +139,7 @@
             case HandedOver():
                 self._handed_over(message, now=now)
             case NotHeld():
+                self.directory.check_answered(sender)
                 for flow in message.flows:
                     self.lookups.absent(flow, sender, now=now)
             case ProbeNeeded():
@@ -163,6 +168,7 @@
         self.openings.wake(now=now)
         self.lookups.wake(now=now)
         self.gossip.wake(now=now)
+        self.agent_checks.wake(now=now)
 
     def _remind_agent(self, announced: Announcement) -> None:
         """Tells a restarted agent that its upstream had begun to leave.
@@ -189,6 +195,7 @@
         self.count("paused")
         self.record("resumed", paused_s=round(paused_s, 3))
         self.directory.complete = False
+        self.agent_checks.resumed()
         self.routes.doubt()
         self.on_resumed()
 
@@ -198,6 +205,7 @@
             self.openings.timers.next(),
             self.lookups.next_wakeup(),
             self.gossip.next_wakeup(),
+            self.agent_checks.due_at,
         )
         return min((time for time in times if time is not None), default=None)
 
--- a/src/bramleydyke/direct/constants.py
+++ b/src/bramleydyke/direct/constants.py
@@ -194,6 +194,22 @@
 DEAD_AGENT_FAILURES = 2
 """Consecutive unanswered messages before an agent is considered dead."""
 
+AGENT_CHECK_S = 1.0
+"""Interval at which a balancer asks an agent that has not answered."""
+
+MAX_AGENT_CHECKS = 128
+"""Maximum number of agents that a balancer asks at each interval.
+
+Those that were asked longest ago come first.
+"""
+
+MAX_SILENCE_GAP_S = 2.5
+"""Maximum time between two unanswered messages of one silence.
+
+In a longer gap the agent may have been running without being asked. Two
+intervals of ``AGENT_CHECK_S`` and the time for an answer.
+"""
+
 UPSTREAM_SILENT_S = 0.15
 """Wait for an upstream's answer to an opening packet.
 
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -13,6 +13,7 @@
     DEAD_AGENT_S,
     ENTRY_EXPIRY_S,
     LOAD_DECAY_S,
+    MAX_SILENCE_GAP_S,
     MAX_SUSPECT_S,
     REQUESTS_PER_SLOT,
     SUSPECT_S,
@@ -29,15 +30,17 @@
     Attributes:
         announcement: Newest announcement of the upstream.
         load: Last reported load, plus the flows that were offered since.
-        failing_since: When the first message after the agent's last answer
-            timed out. The time of the last announcement cannot be used: agents
+        failing_since: When the first message of the agent's silence timed
+            out. The time of the last announcement cannot be used: agents
             announce to a few balancers only, so the others may get no message
             from a running agent for a long time.
+        failed_at: When the last message of the agent's silence timed out.
         load_at: When ``load`` was reported or last increased.
         suspect_until: End of the suspicion, until which the agent gets new
             flows only as a last resort.
-        failures: Number of messages that timed out since the agent's last
-            answer.
+        failures: Number of messages of the agent's silence that timed out. A
+            silence ends with an answer, or if nothing times out for
+            ``MAX_SILENCE_GAP_S``.
         suspicions: Number of suspicions since the agent's last answer. Each
             doubles the duration of the next one.
         gone_at: When this process learned that the upstream has ended; None
@@ -47,6 +50,7 @@
     announcement: Announcement
     load: Load
     failing_since: float = 0.0
+    failed_at: float = 0.0
     load_at: float = 0.0
     suspect_until: float = 0.0
     failures: int = 0
@@ -168,6 +172,39 @@
             entry.suspicions = 0
             entry.suspect_until = 0.0
 
+    def check_answered(self, node: NodeIp) -> None:
+        """Ends the silence of an agent, but not its suspicion.
+
+        An agent that answers a check may still be too slow for new flows.
+        """
+        entry = self.entries.get(node)
+        if entry is not None:
+            entry.failures = 0
+
+    def check_unanswered(self, node: NodeIp, *, asked_at: float, now: float) -> None:
+        """Extends the silence of an agent, if it began before a check.
+
+        Args:
+            node: IP address of the agent.
+            asked_at: When the agent was asked, in seconds.
+            now: Time in seconds.
+        """
+        entry = self.entries.get(node)
+        if entry is not None and entry.failures and entry.failing_since <= asked_at:
+            _add_failure(entry, now=now)
+
+    def silent_agents(self) -> list[NodeIp]:
+        """Returns the silent agents of running upstreams.
+
+        Those that were found silent longest ago come first.
+        """
+        silent = [
+            node
+            for node, entry in self.entries.items()
+            if entry.failures and entry.gone_at is None
+        ]
+        return sorted(silent, key=lambda node: self.entries[node].failed_at)
+
     def mark_suspect(self, node: NodeIp, *, now: float) -> None:
         """Marks an agent that did not answer as suspect for a while.
 
@@ -175,9 +212,7 @@
         """
         entry = self.entries.get(node)
         if entry is not None:
-            if not entry.failures:
-                entry.failing_since = now
-            entry.failures += 1
+            _add_failure(entry, now=now)
             if entry.suspect_until <= now:
                 pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.suspicions)
                 entry.suspicions += 1
@@ -188,6 +223,8 @@
     ) -> bool:
         """Returns whether an agent is unknown or has been silent for too long.
 
+        Time in which the agent was not asked does not count as silence.
+
         Args:
             node: IP address of the agent.
             now: Time in seconds.
@@ -197,6 +234,8 @@
         entry = self.entries.get(node)
         if entry is None:
             return True
+        if now - entry.failed_at > MAX_SILENCE_GAP_S:
+            return False
         silent = now - entry.failing_since > after_s
         return silent and entry.failures >= DEAD_AGENT_FAILURES
 
@@ -316,6 +355,16 @@
         }
 
 
+def _add_failure(entry: Entry, *, now: float) -> None:
+    """Adds a message that timed out to an agent's silence or to a new one."""
+    if now - entry.failed_at > MAX_SILENCE_GAP_S:
+        entry.failures = 0
+    if not entry.failures:
+        entry.failing_since = now
+    entry.failures += 1
+    entry.failed_at = now
+
+
 def _ended_announcement(announcement: Announcement) -> Announcement:
     """Returns an announcement that the upstream has ended.
 
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -322,9 +322,8 @@
         self.directory.expire(now=now)
         silent_agents = [
             node
-            for node, entry in self.directory.entries.items()
-            if self.directory.is_dead(node, now=now)
-            and now - entry.failing_since > ENTRY_EXPIRY_S
+            for node in self.directory.entries
+            if self.directory.is_dead(node, now=now, after_s=ENTRY_EXPIRY_S)
         ]
         for node in silent_agents:
             if node not in self.listed:
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -10,12 +10,13 @@
 from network import OTHER, REPORT_S, ROUTE, SERVICE, Network, routes, system
 
 from bramleydyke.direct.constants import (
+    AGENT_CHECK_S,
     DEAD_AGENT_S,
     MAX_OPENING_RETRY_S,
     OPENING_RETRY_S,
     REQUESTS_PER_SLOT,
 )
-from bramleydyke.direct.messages import Offer, encode
+from bramleydyke.direct.messages import NotHeld, Offer, encode
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.types import Lifetime, NodeIp
 
@@ -557,3 +558,77 @@
     network.later(0.6, lambda: network.agents[node].report(late, now=network.now))
     network.run(0.6 + REPORT_S)
     assert_answered(network, held)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_flows_survive_a_restart_of_an_agent_that_was_silent_once(seed):
+    """Guards against resets because of an old, short silence of an agent.
+
+    A balancer that no agent announces to found the agent silent once and did
+    not ask it again. In a restart much later, the next unanswered message made
+    all the time between them count as silence.
+    """
+    network = system(seed, balancers=2)
+    callers = open_flows(network, 20)
+    balancer = network.add_balancer("10.0.1.9")
+    for agent in network.agents.values():
+        agent.announcer.balancers = {NodeIp("10.0.1.0"): None}
+    holder = network.holder(callers[0])
+    assert holder is not None
+    balancer.directory.mark_suspect(holder.node, now=network.now)
+    network.run(7.0)
+    network.restart_agent(holder.node, down_s=0.6)
+    network.run(0.3)
+    for number in (0, 1):
+        del network.balancers[NodeIp(f"10.0.1.{number}")]
+    assert_answered(network, callers)
+
+
+def test_a_silent_agent_is_asked_until_it_answers():
+    """Guards against beliefs about an agent that nobody asks again."""
+    network = system(1, balancers=1)
+    node = NodeIp("10.0.2.2")
+    balancer = network.balancers[NodeIp("10.0.1.0")]
+    balancer.directory.mark_suspect(node, now=network.now)
+    agent = network.agents.pop(node)
+    network.run(DEAD_AGENT_S + 2 * AGENT_CHECK_S)
+    assert balancer.directory.is_dead(node, now=network.now)
+    agent.announcer.balancers.clear()
+    network.agents[node] = agent
+    network.run(2 * AGENT_CHECK_S)
+    assert not balancer.directory.is_dead(node, now=network.now)
+    assert not balancer.directory.silent_agents()
+
+
+def test_an_answer_to_a_check_does_not_end_a_suspicion():
+    """Guards against new flows for an agent that is too slow to open them."""
+    network = system(1, balancers=1)
+    node = NodeIp("10.0.2.2")
+    balancer = network.balancers[NodeIp("10.0.1.0")]
+    balancer.directory.mark_suspect(node, now=network.now)
+    balancer.message_in(node, NotHeld([]), now=network.now)
+    assert not balancer.directory.silent_agents()
+    assert not balancer.directory.is_responsive(node, now=network.now)
+
+
+@pytest.mark.parametrize(
+    ("asked_at", "dead"),
+    [
+        ([0.0], False),
+        ([0.0, 7.0], False),
+        ([0.0, 1.0, 2.0, 6.0, 6.5], False),
+        ([0.0, 1.0, 2.0, 3.0], False),
+        ([0.0, 1.0, 2.0, 3.0, 4.5], True),
+        ([0.0, 2.2, 4.4], True),
+    ],
+)
+def test_only_time_in_which_an_agent_was_asked_is_silence(asked_at, dead):
+    """Guards against silence that spans time without questions."""
+    network = system(1, balancers=1)
+    node = NodeIp("10.0.2.2")
+    directory = network.balancers[NodeIp("10.0.1.0")].directory
+    start = network.now
+    for after in asked_at:
+        directory.mark_suspect(node, now=start + after)
+    assert directory.is_dead(node, now=start + asked_at[-1]) is dead
+    assert not directory.is_dead(node, now=start + asked_at[-1] + 60.0)
