Number lifetimes at the agent; acknowledge a drain only if it is in force

What callers saw: new flows went to an upstream for as long as the run lasted after its drain had been acknowledged.

Cause: the lifetimes of an address were ordered by the start that the upstream reports, which is a time of day. After a step back the later lifetime seemed to be the earlier one, so its agent dropped all of its reports as late, and acknowledged each of them all the same.

Change: the agent numbers the lifetimes, by the reported start or one more than the last known number. Entries and announcements keep the start (born) beside it. A start that seems to be earlier is either late or new: it counts once only it has reported for 1.5 intervals, and until then the upstream gets no new flow and a drain gets 503. No drain is acknowledged that is not in force. Balancers tell an agent the number that they know if its own is smaller; it renumbers the lifetime and its flows, and none is reset for that.

The same cause in an end that arrives before the agent knows of a lifetime: it was acknowledged, and the entry that was read later undid it.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -395,8 +395,8 @@
     Mutation(
         "take_late_reports",
         "upstream_view.py",
-        "if newest is not None and _order(report) <= _order(newest):",
-        "if False:",
+        "            if report.sequence <= known.sequence:\n",
+        "            if False:\n",
         "direct",
     ),
     Mutation(
@@ -420,6 +420,27 @@
         "            pass\n",
         "direct",
     ),
+    Mutation(
+        "believe_an_earlier_start_at_once",
+        "upstream_view.py",
+        "return now - earlier.since >= CONFIRM_REPORTS * self.report_interval_s",
+        "return True",
+        "direct",
+    ),
+    Mutation(
+        "accept_a_drain_that_was_not_applied",
+        "agent.py",
+        "if report.draining and self.view.state(now=now) not in LEAVING_STATES:",
+        "if False:",
+        "direct",
+    ),
+    Mutation(
+        "keep_a_number_below_the_known_one",
+        "balancer.py",
+        "if outdated or known.lifetime > announced.lifetime:",
+        "if outdated:",
+        "direct",
+    ),
     Mutation(
         "trust_a_recalled_drain",
         "upstream_view.py",
--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -20,7 +20,7 @@
 from bramleydyke.direct.settings import DirectSettings
 from bramleydyke.direct.store import CallStatus, Era, Kind, Listing, StoredObject
 from bramleydyke.direct.types import NodeIp, Packet, UpstreamState
-from bramleydyke.direct.upstream_view import Report, UpstreamView
+from bramleydyke.direct.upstream_view import Report, ReportResult, UpstreamView
 from bramleydyke.endpoints import host_of, parse_endpoint, port_of
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
@@ -107,7 +107,9 @@
         self._list_balancers(stale=False)
         super().start()
 
-    def on_report(self, report: Report, acknowledge: Callable[[bool], None]) -> None:
+    def on_report(
+        self, report: Report, acknowledge: Callable[[ReportResult], None]
+    ) -> None:
         """Handles a report of the upstream.
 
         A drain is acknowledged once it is stored, so that the agent knows of
@@ -115,33 +117,34 @@
 
         Args:
             report: State of the upstream.
-            acknowledge: Called with True if the report was accepted, with
-                False if it comes from an upstream of another service.
+            acknowledge: Called with what was done with the report. A drain
+                that is not in force is never acknowledged.
         """
-        accepted = self.role.report(report, now=self.clock.seconds())
+        result = self.role.report(report, now=self.clock.seconds())
         self._store_entry()
-        if not (accepted and report.draining) or self.entry_writer.is_up_to_date():
-            acknowledge(accepted)
+        drained = result is ReportResult.ACCEPTED and report.draining
+        if not drained or self.entry_writer.is_up_to_date():
+            acknowledge(result)
             return
         reported_at = self.clock.seconds()
 
-        def observe_and_acknowledge(accepted: bool) -> None:
+        def observe_and_acknowledge() -> None:
             waited = self.clock.seconds() - reported_at
             self.observe("drain_acknowledged", waited)
-            acknowledge(accepted)
+            acknowledge(result)
 
         self._acknowledge_when_stored(
             reported_at + DRAIN_STORE_TIMEOUT_S, observe_and_acknowledge
         )
 
     def _acknowledge_when_stored(
-        self, deadline: float, acknowledge: Callable[[bool], None]
+        self, deadline: float, acknowledge: Callable[[], None]
     ) -> None:
         if self.entry_writer.is_up_to_date():
-            acknowledge(True)
+            acknowledge()
         elif self.clock.seconds() >= deadline:
             self.count("drains.acknowledged_unstored")
-            acknowledge(True)
+            acknowledge()
         else:
             self.clock.callLater(
                 STORE_POLL_INTERVAL_S,
@@ -257,6 +260,7 @@
             sequence=entry.sequence,
         )
         self.role.restore(entry.report(), now=self.clock.seconds())
+        self._store_entry()
 
     def _list_balancers(self, *, stale: bool = True) -> None:
         """Lists the balancers in the store and repeats this periodically.
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -45,12 +45,16 @@
     FlowTuple,
     NodeIp,
     Packet,
+    UpstreamState,
 )
 from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
-from bramleydyke.direct.upstream_view import Report, UpstreamView
+from bramleydyke.direct.upstream_view import Report, ReportResult, UpstreamView
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
+LEAVING_STATES = frozenset({UpstreamState.DRAINING, UpstreamState.GONE})
+"""States in which a drain is in force."""
+
 
 class Probe(NamedTuple):
     """A packet sent to the upstream to learn whether it holds the flow.
@@ -150,10 +154,14 @@
     def _reminded(self, announced: Announcement, *, now: float) -> None:
         """Adopts what the earlier process of this agent had announced.
 
-        Ignored once the upstream has reported to this process.
+        Once the upstream has reported to this process, only the number of its
+        lifetime may change.
         """
         stored = self.view.stored_report
-        if self.view.report is not None or announced.service != self.service:
+        if announced.service != self.service:
+            return
+        if self.view.report is not None:
+            self.restore(entry_of(announced).report(), now=now)
             return
         if stored is not None and announced.lifetime < stored.lifetime:
             return
@@ -269,7 +277,7 @@
         forwarded as a probe: the upstream returns packets of flows that it
         does not hold.
         """
-        if 0 < message.lifetime < self.view.lifetime:
+        if self.view.has_ended(message.lifetime):
             self._reset(packet, why="upstream restarted")
             return
         if self._cannot_hold(packet.flow, message.service, now=now):
@@ -383,21 +391,32 @@
 
     # Reports from the upstream.
 
-    def report(self, report: Report, *, now: float) -> bool:
+    def report(self, report: Report, *, now: float) -> ReportResult:
         """Applies a report of the upstream and announces the new state.
 
-        Returns:
-            False if the report is for another service.
+        A drain that was not applied, because the report is late or may be
+        late, is not in force unless an earlier report had the same effect.
         """
         if report.service != self.service:
             self.count(counter_name(ErrorKind.WRONG_SERVICE))
-            return False
+            return ReportResult.WRONG_SERVICE
         if self.view.apply(report, now=now):
             self.announcer.revision = 0
             self.announce(now=now)
-        else:
-            self.count("late.reports")
-        return True
+            return ReportResult.ACCEPTED
+        self.count("late.reports")
+        if self.view.unconfirmed is not None:
+            self.record(
+                "start_unconfirmed",
+                upstream=report.upstream,
+                born=report.born_at,
+                sequence=report.sequence,
+                lifetime=self.view.lifetime,
+            )
+            self.announce(now=now)
+        if report.draining and self.view.state(now=now) not in LEAVING_STATES:
+            return ReportResult.UNCONFIRMED
+        return ReportResult.ACCEPTED
 
     def restore(self, report: Report, *, now: float) -> None:
         """Restores a report that was stored before this agent's restart.
@@ -405,8 +424,15 @@
         The upstream is announced at once, so that balancers that got no answer
         during the restart use the agent again.
         """
-        self.view.restore(report)
-        if self.view.report is None:
+        earlier = self.view.lifetime
+        if self.view.restore(report):
+            self.flows.renumber(earlier, self.view.lifetime)
+            self.announcer.revision = 0
+            self.record(
+                "lifetime_renumbered", earlier=earlier, lifetime=self.view.lifetime
+            )
+            self.announce(now=now)
+        elif self.view.report is None:
             self.announce(now=now)
 
     def upstream_ended(self, upstream: UpstreamId, *, now: float) -> None:
--- a/src/bramleydyke/direct/announcer.py
+++ b/src/bramleydyke/direct/announcer.py
@@ -68,6 +68,7 @@
             state=state,
             load=self.load(now),
             slots=self.view.slots,
+            born=report.born,
         )
 
     def announce(self, *, now: float) -> None:
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -171,14 +171,16 @@
         self.agent_checks.wake(now=now)
 
     def _remind_agent(self, announced: Announcement) -> None:
-        """Tells a restarted agent that its upstream had begun to leave.
+        """Tells a restarted agent what its earlier process has announced.
 
         The store may have been away at that time. The entry from which the
-        agent started then still shows a ready upstream.
+        agent started may then show a ready upstream that has begun to leave,
+        or the agent may have given its upstream the number of an earlier one.
         """
         known = self.directory.entries[announced.node].announcement
         leaving = known.state in (UpstreamState.DRAINING, UpstreamState.GONE)
-        if leaving and known.order() > announced.order():
+        outdated = leaving and known.order() > announced.order()
+        if outdated or known.lifetime > announced.lifetime:
             self.send(announced.node, Relayed(known))
 
     def _detect_pause(self, *, now: float) -> None:
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -326,15 +326,16 @@
         """Returns whether an upstream's lifetime has ended.
 
         All flows of that lifetime are then dead. Lifetime 0 means unknown and
-        counts as not ended.
+        counts as not ended. A lifetime that its agent has renumbered is known
+        by its start, too.
         """
         entry = self.entries.get(node)
         if entry is None or lifetime == 0:
             return False
         newest = entry.announcement
-        if newest.lifetime > lifetime:
-            return True
-        return newest.lifetime == lifetime and newest.state is UpstreamState.GONE
+        if lifetime in (newest.lifetime, newest.born):
+            return newest.state is UpstreamState.GONE
+        return newest.lifetime > lifetime
 
     def may_become_ready(self, service: ServiceId) -> bool:
         """Returns whether a service may have a ready upstream later.
--- a/src/bramleydyke/direct/entries.py
+++ b/src/bramleydyke/direct/entries.py
@@ -29,6 +29,8 @@
     revision: int
     state: UpstreamState
     slots: int = 1
+    born: Lifetime = Lifetime(0)
+    """Start of the upstream if ``lifetime`` is another number, otherwise 0."""
 
     def report(self) -> Report:
         """Returns the report that the entry is based on.
@@ -43,6 +45,7 @@
             sequence=self.sequence,
             draining=self.state is not UpstreamState.READY,
             slots=self.slots,
+            born=self.born,
         )
 
     def announcement(self) -> Announcement:
@@ -57,6 +60,7 @@
             revision=self.revision,
             state=self.state,
             slots=self.slots,
+            born=self.born,
         )
 
 
@@ -72,4 +76,5 @@
         revision=announcement.revision,
         state=announcement.state,
         slots=announcement.slots,
+        born=announcement.born,
     )
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -167,6 +167,8 @@
     state: UpstreamState
     load: Load = Load()
     slots: int = 1
+    born: Lifetime = Lifetime(0)
+    """Start of the upstream if ``lifetime`` is another number, otherwise 0."""
 
     def order(self) -> tuple[int, int, int]:
         """Returns a sort key that is larger for later announcements."""
@@ -187,8 +189,8 @@
 class Relayed(Message, tag=7):
     """Balancer to balancer: relays an announcement of a changed upstream.
 
-    A balancer also sends it to an agent that has announced less than its
-    earlier process did.
+    A balancer also sends it to an agent that has announced less, or a smaller
+    number of its upstream's lifetime, than its earlier process did.
     """
 
     announcement: Announcement
--- a/src/bramleydyke/direct/openings.py
+++ b/src/bramleydyke/direct/openings.py
@@ -22,7 +22,7 @@
 from bramleydyke.direct.ports import Count, Observe, Record, Send, SendToCaller
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.routes import Route, pick_service
-from bramleydyke.direct.types import FlowTuple, NodeIp, Packet
+from bramleydyke.direct.types import FlowTuple, Lifetime, NodeIp, Packet
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import ServiceId
 
@@ -175,7 +175,12 @@
                 lifetime=message.lifetime,
             )
         self.directory.answered(node, now=now, load=message.load)
-        holder = Holder(node, message.lifetime, message.first_sequence)
+        lifetime = message.lifetime
+        if self.directory.lifetime_ended(node, lifetime):
+            # The answer is late, or the agent does not know of the lifetime
+            # that is known here. The agent decides whether the flow lives.
+            lifetime = Lifetime(0)
+        holder = Holder(node, lifetime, message.first_sequence)
         self.holders.record_holder(message.flow, holder)
 
     def refused(self, node: NodeIp, message: Refused, *, now: float) -> None:
--- a/src/bramleydyke/direct/types.py
+++ b/src/bramleydyke/direct/types.py
@@ -15,9 +15,11 @@
 """IPv4 address and port that callers send to: 6 bytes."""
 
 Lifetime = NewType("Lifetime", int)
-"""Identifies one run of an upstream by its start, in Unix milliseconds.
+"""Identifies one run of an upstream; its agent assigns the number.
 
-Of two upstreams at one address, the one with the larger value is newer.
+It is the upstream's start in Unix milliseconds. If the time of day was set
+back before the start, it is a larger number: of two upstreams at one address,
+the one with the larger value is newer.
 """
 
 ConfigVersion = NewType("ConfigVersion", int)
--- a/src/bramleydyke/direct/upstream_flows.py
+++ b/src/bramleydyke/direct/upstream_flows.py
@@ -111,6 +111,12 @@
         if flow.finished and not before:
             self.unfinished -= 1
 
+    def renumber(self, earlier: Lifetime, lifetime: Lifetime) -> None:
+        """Gives the flows of a lifetime that was renumbered its new number."""
+        for flow in self.flows.values():
+            if flow.lifetime == earlier:
+                flow.lifetime = lifetime
+
     def end(self, flow: UpstreamFlow) -> None:
         """Marks a flow that was reset as finished at both ends."""
         self.finish(flow, caller=True)
--- a/src/bramleydyke/direct/upstream_view.py
+++ b/src/bramleydyke/direct/upstream_view.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum
 
 from bramleydyke.direct.constants import LOST_REPORTS
 from bramleydyke.direct.types import Lifetime, UpstreamState
@@ -17,12 +18,35 @@
 """
 
 
+CONFIRM_REPORTS = 1.5
+"""Report intervals after which a start that seems to be earlier is believed.
+
+For as long as that, reports must come from it alone. An upstream that runs
+sends at least one report in that time.
+"""
+
+
+class ReportResult(Enum):
+    """What an agent did with a report."""
+
+    ACCEPTED = "accepted"
+    WRONG_SERVICE = "wrong_service"
+    """The upstream belongs to another service."""
+
+    UNCONFIRMED = "unconfirmed"
+    """The upstream says that it drains, but the report may be late."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Report:
     """Periodic report of an upstream to its agent.
 
     Attributes:
-        lifetime: Start of the upstream in Unix milliseconds.
+        lifetime: Number of the upstream's lifetime, larger for later ones:
+            its start in Unix milliseconds, or more if the time of day was set
+            back before the start.
+        born: Start of the upstream in Unix milliseconds, if ``lifetime`` is
+            another number; otherwise 0.
         sequence: Number of the report within the lifetime.
         draining: True if the upstream accepts no new flows.
         slots: Number of requests that the upstream processes in parallel.
@@ -37,6 +61,35 @@
     draining: bool
     slots: int = 1
     cold_s: float = 0.0
+    born: Lifetime = Lifetime(0)
+
+    @property
+    def born_at(self) -> Lifetime:
+        """Start of the upstream, in Unix milliseconds."""
+        return self.born or self.lifetime
+
+    @property
+    def start(self) -> tuple[UpstreamId, Lifetime]:
+        """The upstream's id and start, which identify the lifetime."""
+        return (self.upstream, self.born_at)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnconfirmedStart:
+    """A lifetime that reports although a later one is known.
+
+    Either its reports are late, or the time of day was set back before the
+    upstream started.
+
+    Attributes:
+        start: Id and start of the upstream.
+        sequence: Largest sequence number of its reports.
+        since: When its first report arrived, in seconds.
+    """
+
+    start: tuple[UpstreamId, Lifetime]
+    sequence: int
+    since: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -58,6 +111,9 @@
             so that this process has seen all of its flows.
         stored_report: Report from the store, received before this process
             started.
+        unconfirmed: Lifetime that has reported since the last report of the
+            known one, and is not confirmed yet.
+        left: Upstream that announced its end before anything was known of it.
     """
 
     report_interval_s: float
@@ -67,10 +123,29 @@
     ended: bool = False
     started_after_agent: bool = False
     stored_report: Report | None = None
+    unconfirmed: UnconfirmedStart | None = None
+    left: UpstreamId | None = None
+
+    def restore(self, report: Report) -> bool:
+        """Uses what an earlier process of the agent had stored or announced.
+
+        It counts as the state of the upstream until the upstream reports. If
+        this process numbered the upstream's lifetime without knowing of an
+        earlier process's numbers, it is numbered again.
 
-    def restore(self, report: Report) -> None:
-        """Uses a report from the store until the upstream sends one."""
-        self.stored_report = report
+        Returns:
+            True if the lifetime of the upstream that reports was renumbered.
+        """
+        if self.report is None:
+            self.stored_report = report
+            self.ended = self.ended or report.upstream == self.left
+            return False
+        same = report.start == self.report.start
+        number = Lifetime(report.lifetime if same else report.lifetime + 1)
+        if number <= self.report.lifetime:
+            return False
+        self.report = _with_lifetime(self.report, number)
+        return True
 
     @property
     def newest(self) -> Report | None:
@@ -78,22 +153,54 @@
         return self.stored_report if self.report is None else self.report
 
     def apply(self, report: Report, *, now: float) -> bool:
-        """Applies a report; returns False if a newer or equal one is known."""
-        old = self.report
-        newest = self.newest
-        if newest is not None and _order(report) <= _order(newest):
+        """Applies a report that comes from the upstream as it now runs.
+
+        Returns:
+            False if the report is late or may be late.
+        """
+        known = self.newest
+        if known is None:
+            lifetime = report.lifetime
+        elif report.start == known.start:
+            if report.sequence <= known.sequence:
+                return False
+            lifetime = known.lifetime
+        elif report.born_at > known.born_at or self._confirm(report, now=now):
+            lifetime = Lifetime(max(report.lifetime, known.lifetime + 1))
+        else:
             return False
-        if old is None or report.lifetime > old.lifetime:
+        if self.report is None or lifetime > self.report.lifetime:
             self.ended = False
             self.started_after_agent = report.sequence <= FIRST_SEQUENCE
-        self.report = report
+        self.report = _with_lifetime(report, lifetime)
         self.reported_at = now
         self.suspected = False
+        self.unconfirmed = None
         return True
 
+    def _confirm(self, report: Report, *, now: float) -> bool:
+        """Returns whether a start that seems to be earlier is the last one.
+
+        A late report is followed by reports of the upstream that runs. If none
+        arrives but this one's sequence goes on, the known lifetime has ended.
+        """
+        earlier = self.unconfirmed
+        if earlier is None or earlier.start != report.start:
+            self.unconfirmed = UnconfirmedStart(
+                start=report.start, sequence=report.sequence, since=now
+            )
+            return False
+        if report.sequence <= earlier.sequence:
+            return False
+        self.unconfirmed = replace(earlier, sequence=report.sequence)
+        return now - earlier.since >= CONFIRM_REPORTS * self.report_interval_s
+
     def mark_ended(self, upstream: UpstreamId) -> bool:
         """Marks the upstream as ended; returns False for another ID."""
-        if self.newest is None or self.newest.upstream != upstream:
+        if self.newest is None:
+            self.left = upstream
+            return False
+        if self.newest.upstream != upstream:
             return False
         self.ended = True
         return True
@@ -112,23 +219,40 @@
         """Lifetime of the upstream; 0 before the first report arrives."""
         return Lifetime(0) if self.report is None else self.report.lifetime
 
+    def has_ended(self, lifetime: Lifetime) -> bool:
+        """Returns whether a lifetime has ended; 0 means unknown.
+
+        A lifetime that was renumbered is known by its start, too.
+        """
+        if self.report is None or not lifetime:
+            return False
+        return lifetime < self.report.lifetime and lifetime != self.report.born
+
     def state(self, *, now: float) -> UpstreamState | None:
         """Returns the state of the upstream; None before the first report.
 
         Until then, a stored report that does not show a drain counts as ready.
+        While it is not known which lifetime runs, a ready upstream counts as
+        silent.
         """
         if self.ended:
             return UpstreamState.GONE
         if self.report is None:
             ready = self.stored_report is not None and not self.stored_report.draining
-            return UpstreamState.READY if ready and not self.suspected else None
+            if not ready or self.suspected:
+                return None
+            return UpstreamState.SILENT if self.unconfirmed else UpstreamState.READY
         if self.report.draining:
             return UpstreamState.DRAINING
         overdue = now - self.reported_at > LOST_REPORTS * self.report_interval_s
-        if self.suspected or overdue:
+        if self.suspected or overdue or self.unconfirmed:
             return UpstreamState.SILENT
         return UpstreamState.READY
 
 
-def _order(report: Report) -> tuple[int, int]:
-    return (report.lifetime, report.sequence)
+def _with_lifetime(report: Report, lifetime: Lifetime) -> Report:
+    """Returns a report with another number of its lifetime."""
+    if report.lifetime == lifetime:
+        return report
+    born = Lifetime(0) if report.born_at == lifetime else report.born_at
+    return replace(report, lifetime=lifetime, born=born)
--- a/src/bramleydyke/platform/endpoints.py
+++ b/src/bramleydyke/platform/endpoints.py
@@ -6,7 +6,7 @@
 
 from bramleydyke.adapters.http_server import DeferredReply, Handler, HttpReply
 from bramleydyke.direct.ports import Count, Record
-from bramleydyke.direct.upstream_view import Report
+from bramleydyke.direct.upstream_view import Report, ReportResult
 from bramleydyke.platform.reports import read_report
 from bramleydyke.types import UpstreamId
 
@@ -17,7 +17,13 @@
 """Path of an upstream's liveness reports; the upstream's id follows."""
 
 _ACKNOWLEDGED = HttpReply(200, b"{}")
-_MISDIRECTED = HttpReply(421)
+
+_REPLIES = {
+    ReportResult.ACCEPTED: _ACKNOWLEDGED,
+    ReportResult.WRONG_SERVICE: HttpReply(421),
+    ReportResult.UNCONFIRMED: HttpReply(503),
+}
+"""Reply to a report, by what was done with it."""
 
 
 def readiness_handler(is_ready: Callable[[], bool]) -> Handler:
@@ -38,7 +44,7 @@
 
 
 def report_handler(
-    on_report: Callable[[Report, Callable[[bool], None]], None],
+    on_report: Callable[[Report, Callable[[ReportResult], None]], None],
     on_removed: Callable[[UpstreamId], None],
     *,
     count: Count,
@@ -49,8 +55,8 @@
     ``PUT`` carries a report; ``DELETE`` reports the end of the upstream.
 
     Args:
-        on_report: Called with a report and a callback. The callback takes True
-            to acknowledge the report and False to reject it with status 421.
+        on_report: Called with a report and a callback, which takes what was
+            done with the report.
         on_removed: Called with the id of an upstream that has ended.
         count: Increments the counter of unreadable reports.
         record: Logs unreadable reports.
@@ -73,10 +79,7 @@
             record("report_unreadable", upstream=upstream_id, error=str(error))
             return HttpReply(400)
         later_reply: DeferredReply = DeferredReply()
-        on_report(
-            report,
-            lambda accepted: later_reply(_ACKNOWLEDGED if accepted else _MISDIRECTED),
-        )
+        on_report(report, lambda result: later_reply(_REPLIES[result]))
         return later_reply
 
     return handle
