Bound the exponent of pauses that double

What callers saw: after an outage of the store of eleven minutes, a route that was added later was not served, by any balancer and for good.

Cause: backoff computed base * 2**attempt before it took the minimum. At attempt 1,024 this raised OverflowError in the callback that schedules the next call, so the watch of the configuration, that of the upstreams and the writer of entries ended. Directory.mark_suspect had the same expression.

With a paused clock, test_an_outage_of_a_day_ends_within_a_second_of_the_return, test_an_entry_is_written_after_an_outage_of_a_day and test_an_agent_may_stay_silent_for_any_time failed before, with OverflowError.

Change: the exponent is at most 64, in one function for all such times.

--- a/src/bramleydyke/core/retry.py
+++ b/src/bramleydyke/core/retry.py
@@ -13,6 +13,13 @@
     RETRY_WINDOW_S,
 )
 
+MAX_DOUBLINGS = 64
+"""Number of doublings after which any time has reached its maximum.
+
+In a long outage there are thousands of attempts, and two to that power is too
+large for a floating-point number.
+"""
+
 
 @dataclass(slots=True, kw_only=True)
 class RetryBudget:
@@ -78,4 +85,15 @@
         base: Maximum of the first delay, in seconds; doubles with each retry.
         cap: Maximum of every delay, in seconds.
     """
-    return random_source.uniform(0.0, min(cap, base * 2**attempt))
+    return random_source.uniform(0.0, doubled(base, attempt, cap=cap))
+
+
+def doubled(base: float, times: int, *, cap: float) -> float:
+    """Returns a time that doubles up to a maximum, for any number of times.
+
+    Args:
+        base: The time without doubling, in seconds.
+        times: How often it doubles.
+        cap: The maximum, in seconds.
+    """
+    return min(cap, base * 2 ** min(times, MAX_DOUBLINGS))
--- a/src/bramleydyke/direct/directory.py
+++ b/src/bramleydyke/direct/directory.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bramleydyke.core.rendezvous import unweighted_owner_order
+from bramleydyke.core.retry import doubled
 from bramleydyke.direct.constants import (
     DEAD_AGENT_FAILURES,
     DEAD_AGENT_S,
@@ -214,7 +215,7 @@
         if entry is not None:
             _add_failure(entry, now=now)
             if entry.suspect_until <= now:
-                pause = min(MAX_SUSPECT_S, SUSPECT_S * 2**entry.suspicions)
+                pause = doubled(SUSPECT_S, entry.suspicions, cap=MAX_SUSPECT_S)
                 entry.suspicions += 1
                 entry.suspect_until = now + pause
 
--- a/tests/direct/test_direct_spread.py
+++ b/tests/direct/test_direct_spread.py
@@ -9,7 +9,7 @@
 from network import OTHER, ROUTE, SERVICE, ZONE, routes, system
 
 from bramleydyke.core.rendezvous import owner_order, unweighted_owner_order
-from bramleydyke.direct.constants import ENTRY_EXPIRY_S, FLOW_IDLE_S
+from bramleydyke.direct.constants import ENTRY_EXPIRY_S, FLOW_IDLE_S, MAX_SUSPECT_S
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import Announcement
 from bramleydyke.direct.routes import Routes, Share, pick_service
@@ -252,3 +252,14 @@
     for number in range(200):
         flow = flow_tuple(number)
         assert unweighted_owner_order(flow, encoded) == owner_order(flow, names)
+
+
+def test_an_agent_may_stay_silent_for_any_time():
+    """Guards against a suspicion that overflows after a thousand of them."""
+    directory = Directory(AvailabilityZone("z1"))
+    directory.apply(announcement(5), now=0.0, from_agent=True)
+    node = NodeIp("10.0.2.0")
+    for number in range(2_000):
+        directory.mark_suspect(node, now=10.0 * number)
+    assert directory.entries[node].suspicions == 2_000
+    assert directory.entries[node].suspect_until <= 10.0 * 1_999 + MAX_SUSPECT_S
--- a/tests/direct/test_entry_writer.py
+++ b/tests/direct/test_entry_writer.py
@@ -233,3 +233,19 @@
     assert store.object is not None
     assert store.object.value == "b3"
     assert writer.is_up_to_date()
+
+
+def test_an_entry_is_written_after_an_outage_of_a_day():
+    """Guards against a pause that overflows after a thousand failed calls."""
+    clock = Clock()
+    store = FakeStore(clock, random.Random(1))
+    store.get = lambda kind, name, reply: reply(CallStatus.LOST, None)
+    writer = make_writer(store, clock, random.Random(1))
+    writer.start()
+    writer.set_value("a")
+    while clock.seconds() < 24 * 3_600:
+        clock.advance(0.25)
+    assert writer.failures > 2_000
+    del store.get
+    advance(clock, 2.0)
+    assert writer.is_up_to_date()
--- a/tests/direct/test_kind_watch.py
+++ b/tests/direct/test_kind_watch.py
@@ -199,3 +199,21 @@
     assert store.lists == []
     assert len(store.watches) == 1
     assert events == ["store_lost", "store_regained"]
+
+
+def test_an_outage_of_a_day_ends_within_a_second_of_the_return():
+    """Guards against a pause that overflows after a thousand failed calls."""
+    store, clock = ScriptedStore(), Clock()
+    watch, seen, _ = make_watch(store, clock)
+    watch.start()
+    attempts = 0
+    while clock.seconds() < 24 * 3_600:
+        clock.advance(0.25)
+        while store.lists:
+            attempts += 1
+            store.lists.pop()(CallStatus.LOST, None)
+    assert attempts > 2_000
+    clock.advance(1.0)
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    assert seen == [("listed", 5)]
+    assert store.watches.pop()[0] == 5
