Decode the store's answers object by object; check entries and reports

What callers saw: after a restart of all processes, no request was served while an entry of another writer held text that is not Unicode.

Cause: a listing was decoded as a whole, so one value refused it all and its kind was lost. Very deep nesting raised RecursionError past the handlers and ended the watch. Numbers of more than 64 bits, no slots, and addresses with a port or a NUL were taken and raised exceptions wherever they were used; a report with such a number left its agent unable to announce anything.

Change: an answer that cannot be decoded is split into its objects, without recursion, and these are decoded one by one. An odd object keeps its name and revision, so that an agent can replace it, and has no value. Entries and reports have ranges of numbers, names and addresses. A balancer's entry counts only under its own address.

--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -283,6 +283,7 @@
             stored.value
             for stored in listing.objects
             if isinstance(stored.value, BalancerEntry)
+            and stored.value.node == stored.name
         ]
         added = [self.role.announcer.add_balancer(entry.node) for entry in entries]
         if any(added):
--- a/src/bramleydyke/direct/entries.py
+++ b/src/bramleydyke/direct/entries.py
@@ -2,34 +2,55 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from bramleydyke.direct.messages import Announcement
 from bramleydyke.direct.types import Lifetime, NodeIp, UpstreamState
 from bramleydyke.direct.upstream_view import Report
+from bramleydyke.endpoints import IP_PATTERN
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
+MAX_NUMBER = 2**62
+"""Maximum of the numbers in an entry.
+
+Messages between nodes encode 64 bits, and numbers increase by one at a time.
+"""
+
+MAX_SLOTS = 2**16
+"""Maximum number of slots of an upstream."""
+
+MAX_NAME_LENGTH = 256
+"""Maximum number of characters of a name."""
+
+EntryIp = Annotated[NodeIp, Meta(pattern=IP_PATTERN)]
+EntryNumber = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+EntryLifetime = Annotated[Lifetime, Meta(ge=0, le=MAX_NUMBER)]
+Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+
 
 class BalancerEntry(msgspec.Struct, frozen=True):
     """Stored entry of a balancer that is running or ran recently."""
 
-    node: NodeIp
+    node: EntryIp
     zone: AvailabilityZone
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True):
     """Stored entry of an upstream: an ``Announcement`` without the load."""
 
-    node: NodeIp
-    zone: AvailabilityZone
-    service: ServiceId
-    upstream: UpstreamId
-    lifetime: Lifetime
-    sequence: int
-    revision: int
+    node: EntryIp
+    zone: Annotated[AvailabilityZone, Meta(max_length=MAX_NAME_LENGTH)]
+    service: Annotated[ServiceId, Meta(max_length=MAX_NAME_LENGTH)]
+    upstream: Annotated[UpstreamId, Meta(max_length=MAX_NAME_LENGTH)]
+    lifetime: EntryLifetime
+    sequence: EntryNumber
+    revision: EntryNumber
     state: UpstreamState
-    slots: int = 1
-    born: Lifetime = Lifetime(0)
+    slots: Slots = 1
+    born: EntryLifetime = Lifetime(0)
     """Start of the upstream if ``lifetime`` is another number, otherwise 0."""
 
     def report(self) -> Report:
--- a/src/bramleydyke/direct/registry.py
+++ b/src/bramleydyke/direct/registry.py
@@ -279,8 +279,13 @@
             self.record("upstream_removed", agent=node, reason=reason)
 
     def _apply_stored_upstream(self, stored: StoredObject) -> None:
+        earlier = self.listed.get(NodeIp(stored.name))
         self.listed[NodeIp(stored.name)] = stored
         if not isinstance(stored.value, UpstreamEntry):
+            if earlier is None or earlier.revision != stored.revision:
+                self.record(
+                    "entry_unreadable", name=stored.name, revision=stored.revision
+                )
             return
         announcement = stored.value.announcement()
         if announcement.node != stored.name:
@@ -298,13 +303,13 @@
 
     def _balancers_listed(self, status: CallStatus, listing: Listing | None) -> None:
         """Adds the listed balancers as peers; a failed call is retried."""
-        if status is CallStatus.OK and listing is not None:
-            for stored in listing.objects:
-                self._add_stored_balancer(stored)
-            self.clock.callLater(BALANCER_LIST_S, self._list_balancers)
-        else:
+        if status is not CallStatus.OK or listing is None:
             self.count(f"store.balancers.{status.value}")
             self.clock.callLater(STORE_BACKOFF_CAP_S, self._list_balancers)
+            return
+        self.clock.callLater(BALANCER_LIST_S, self._list_balancers)
+        for stored in listing.objects:
+            self._add_stored_balancer(stored)
 
     # Expiry of entries whose writers no longer run.
 
@@ -380,8 +385,11 @@
         self.store.get(kind, node, found)
 
     def _add_stored_balancer(self, stored: StoredObject) -> None:
-        if isinstance(stored.value, BalancerEntry):
-            self.gossip.add_peer(stored.value.node, now=self.clock.seconds())
+        entry = stored.value
+        if not isinstance(entry, BalancerEntry) or entry.node != stored.name:
+            self.count("store.balancers.foreign")
+        else:
+            self.gossip.add_peer(entry.node, now=self.clock.seconds())
 
 
 def _lifetime(stored: StoredObject | None) -> Lifetime:
--- a/src/bramleydyke/endpoints.py
+++ b/src/bramleydyke/endpoints.py
@@ -8,14 +8,20 @@
 
 from msgspec import Meta
 
-_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
-_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
-_ENDPOINT = rf"({_OCTET}\.){{3}}{_OCTET}:{_PORT}"
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_PORT = (
+    "(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    "|[1-9][0-9]{0,3})"
+)
+_IP = rf"({_OCTET}\.){{3}}{_OCTET}"
 
-ENDPOINT_PATTERN = f"^{_ENDPOINT}$"
+IP_PATTERN = rf"^{_IP}\Z"
+"""Pattern of an IPv4 address in dotted form."""
+
+ENDPOINT_PATTERN = rf"^{_IP}:{_PORT}\Z"
 """Pattern of an IPv4 address and a port from 1 to 65535."""
 
-URL_PATTERN = f"^http://{_ENDPOINT}$"
+URL_PATTERN = rf"^http://{_IP}:{_PORT}\Z"
 """Pattern of an HTTP URL with an IPv4 address and a port, without a path."""
 
 Endpoint = Annotated[str, Meta(pattern=ENDPOINT_PATTERN)]
--- a/src/bramleydyke/platform/reports.py
+++ b/src/bramleydyke/platform/reports.py
@@ -6,23 +6,26 @@
 
 import msgspec
 
+from bramleydyke.direct.entries import EntryNumber, Slots
 from bramleydyke.direct.types import Lifetime
 from bramleydyke.direct.upstream_view import Report
+from bramleydyke.endpoints import Endpoint
 from bramleydyke.types import ServiceId, UpstreamId
 
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+MAX_COLD_MS = 3_600_000.0
+"""Maximum time for which an upstream is slow after its start."""
 
 
 class _LivenessReport(msgspec.Struct):
     service: str
-    address: str
+    address: Endpoint
     state: Literal["ready", "draining"]
-    sequence: _NonNegativeInt
-    born: _NonNegativeInt
+    sequence: EntryNumber
+    born: EntryNumber
     """Start time of the upstream, in Unix milliseconds."""
 
-    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
-    cold_remaining_ms: float = 0.0
+    slots: Slots = 1
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
 
 
 def read_report(upstream: str, body: bytes) -> Report:
@@ -36,7 +39,10 @@
         ValueError: The body is not JSON, or a field is missing, mistyped or
             out of range.
     """
-    report = msgspec.json.decode(body, type=_LivenessReport)
+    try:
+        report = msgspec.json.decode(body, type=_LivenessReport)
+    except RecursionError as error:
+        raise ValueError("the report is nested too deeply") from error
     return Report(
         upstream=UpstreamId(upstream),
         service=ServiceId(report.service),
--- a/src/bramleydyke/platform/store.py
+++ b/src/bramleydyke/platform/store.py
@@ -29,6 +29,13 @@
     Revision,
     StoredObject,
 )
+from bramleydyke.platform.listings import (
+    UNDECODABLE,
+    Item,
+    read_events,
+    read_item,
+    read_page,
+)
 from bramleydyke.platform.manifest import read_manifest
 from bramleydyke.ports import Clock
 
@@ -64,32 +71,6 @@
 """
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _List(msgspec.Struct):
-    items: list[_Object]
-    current_rev: int
-    more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    removed: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    current_rev: int
-
-
 class _NewObject(msgspec.Struct):
     meta: dict[str, Any]
     spec: Any
@@ -139,7 +120,7 @@
         query = f"?watch={revision}&wait_ms={wait_ms}"
 
         def on_response(status: int | None, body: bytes) -> None:
-            events = self._decode_response(status, body, _Events, reply)
+            events = self._decode_response(kind, status, body, read_events, reply)
             if events is None:
                 return
             changes = [
@@ -186,16 +167,17 @@
         era = self.era
 
         def on_response(status: int | None, body: bytes) -> None:
-            page = self._decode_response(status, body, _List, reply)
+            page = self._decode_response(kind, status, body, read_page, reply)
             if page is None:
                 return
-            if earlier_objects and era != self.era:
+            changed = earlier_objects and era != self.era
+            if changed or (page.more and not page.items):
                 reply(CallStatus.LOST, None)
                 return
             objects = earlier_objects + [
                 self._stored_object(kind, item) for item in page.items
             ]
-            if page.more and page.items:
+            if page.more:
                 after = {"after": page.items[-1].meta.name}
                 self._list_page(kind, objects, query | after, reply)
             else:
@@ -213,8 +195,8 @@
                 reply(result, None)
                 return
             try:
-                item = msgspec.json.decode(answer, type=_Object)
-            except msgspec.MsgspecError:
+                item = read_item(answer)
+            except ValueError:
                 # Some responses carry no object, such as those to removals.
                 reply(result, None)
                 return
@@ -280,27 +262,36 @@
         return False
 
     def _decode_response(
-        self, status: int | None, body: bytes, message_type: Any, reply: Reply
+        self,
+        kind: Kind,
+        status: int | None,
+        body: bytes,
+        read: Callable[[bytes], tuple[Any, int]],
+        reply: Reply,
     ) -> Any:
+        """Returns a decoded answer; without one, replies and returns None."""
         result = _call_status(status)
         if result is not CallStatus.OK:
             reply(result, None)
             return None
         try:
-            return msgspec.json.decode(body, type=message_type)
-        except msgspec.MsgspecError:
+            answer, left_out = read(body)
+        except ValueError:
             self.count("store.bad_answer")
             reply(CallStatus.LOST, None)
             return None
+        for _ in range(left_out):
+            self.count(f"store.{kind.value}.unreadable")
+        return answer
 
-    def _stored_object(self, kind: Kind, item: _Object) -> StoredObject:
+    def _stored_object(self, kind: Kind, item: Item) -> StoredObject:
         """Decodes an object; the value is None if it is unreadable."""
         revision = Revision(item.meta.revision)
         if kind is Kind.CONFIGURATION and item.meta.name == CONFIG_NAME:
             return StoredObject(CONFIG_NAME, revision, self._manifest_routes(item))
         return StoredObject(item.meta.name, revision, self._decode_value(kind, item))
 
-    def _manifest_routes(self, item: _Object) -> Any:
+    def _manifest_routes(self, item: Item) -> Any:
         """Returns the routes; decodes them only if the manifest has changed.
 
         The revision does not tell: a restored store may assign the revision of
@@ -313,10 +304,10 @@
             self.latest_manifest = (digest, routes)
         return routes
 
-    def _decode_value(self, kind: Kind, item: _Object) -> Any:
+    def _decode_value(self, kind: Kind, item: Item) -> Any:
         try:
             return _DECODERS[kind](bytes(item.spec))
-        except ValueError:
+        except UNDECODABLE:
             self.count(f"store.{kind.value}.unreadable")
             return None
 
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -8,7 +8,8 @@
 
 import sys
 import time
-from itertools import count
+from functools import reduce
+from itertools import count, product
 from pathlib import Path
 
 import pytest
@@ -154,6 +155,57 @@
     assert {flow.state for flow in flows} == {"open"}
 
 
+@pytest.fixture
+def deep_recursion():
+    """Lets the simulated store encode what the programs cannot decode."""
+    limit = sys.getrecursionlimit()
+    sys.setrecursionlimit(10_000)
+    yield
+    sys.setrecursionlimit(limit)
+
+
+def test_odd_entries_of_another_writer_change_nothing(system, deep_recursion):
+    """Guards against processes that follow the store no longer."""
+    nested = reduce(lambda inner, _: [inner], range(3_000), [])
+    entry = {
+        "node": "10.9.9.9",
+        "zone": "z1",
+        "service": "board",
+        "upstream": "i-odd",
+        "lifetime": 10**30,
+        "sequence": 1,
+        "revision": 1,
+        "state": "ready",
+        "slots": 0,
+    }
+    port = {"node": "10.9.9.9:99999", "zone": "z1"}
+    odd = {"text": {"x": "\ud800"}, "nested": nested, "10.9.9.9": entry, "port": port}
+    kinds = ["bramleydyke-upstreams", "bramleydyke-balancers"]
+    for kind, (name, value) in product(kinds, odd.items()):
+        system.store.put(kind, name, value)
+    flows = open_flows(system, 8)
+    system.configure({BOARD: "board", VAULT: "vault", 9001: "board"})
+    assert open_when_in_force(system, 9001) < IN_FORCE_S
+    system.add_upstream(9, "board")
+    name = f"{system.network}.2.9"
+    run_until(lambda: (kinds[0], name) in system.store.objects)
+    for _ in range(6):
+        send_requests(open_flows(system, 8), b"q")
+    assert system.upstreams[name].open
+    for ip in list(system.nodes):
+        kill(system, ip)
+    # The seed of all processes is not among them.
+    for number in (3, 4):
+        system.add_balancer(number)
+    services = {1: "board", 2: "board", 3: "board", 4: "vault", 9: "board"}
+    for number, service in services.items():
+        system.start_agent(number, service)
+    send_requests(flows, b"after")
+    send_requests(open_flows(system, 8), b"new")
+    system.configure({BOARD: "board", VAULT: "vault", 9002: "board"})
+    assert open_when_in_force(system, 9002) < IN_FORCE_S
+
+
 def test_a_lost_history_and_lost_answers_delay_nothing_for_long(system):
     system.store.lost_reply_share = 0.5
     system.store.compact()
