Go on with a watch when an answer cannot be applied

Cause: KindWatch called its receiver in the callback that makes the next call. An exception there ended the watch for good, without a log line.

Evidence: test_an_answer_that_cannot_be_applied_does_not_end_the_watch failed before, for listings and for changes.

Change: the exception is counted and logged (store_answer_failed), and the watch goes on from the revision of the answer.

--- a/src/bramleydyke/direct/kind_watch.py
+++ b/src/bramleydyke/direct/kind_watch.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from typing import TypeVar
 
 from bramleydyke.core.retry import backoff
 from bramleydyke.direct.constants import (
@@ -25,6 +26,8 @@
 )
 from bramleydyke.ports import Clock
 
+_Answer = TypeVar("_Answer", Listing, Changes)
+
 
 @dataclass(slots=True, kw_only=True)
 class KindWatch:
@@ -125,7 +128,7 @@
             self._retry(status)
             return
         self._regained()
-        self.listed(listing, called_at)
+        self._hand_on(self.listed, listing, called_at)
         self._watch(sequence, listing.revision)
 
     def _watch(self, sequence: int, revision: Revision) -> None:
@@ -146,7 +149,7 @@
             return
         if status is CallStatus.OK and changes is not None:
             self._regained()
-            self.changed(changes, called_at)
+            self._hand_on(self.changed, changes, called_at)
             if self.pause_s and changes.changes:
                 self.clock.callLater(
                     self.pause_s, self._watch, sequence, changes.revision
@@ -159,6 +162,16 @@
         else:
             self._retry(status)
 
+    def _hand_on(
+        self, receive: Callable[[_Answer, float], None], answer: _Answer, at: float
+    ) -> None:
+        """Passes on an answer; an exception is logged and ends no watch."""
+        try:
+            receive(answer, at)
+        except Exception as error:
+            self.count(f"store.{self.kind.value}.not_applied")
+            self.record("store_answer_failed", kind=self.kind.value, error=repr(error))
+
     def _retry(self, status: CallStatus) -> None:
         self.count(f"store.{self.kind.value}.{status.value}")
         if not self.lost:
@@ -223,7 +236,7 @@
             self.poll_all()
         elif status is CallStatus.OK and changes is not None:
             self.revision = max(self.revision, changes.revision)
-            self.changed(changes, called_at)
+            self._hand_on(self.changed, changes, called_at)
 
     def _on_full_poll(
         self, called_at: float, status: CallStatus, listing: Listing | None
@@ -231,4 +244,4 @@
         """Handles the answer to a full poll, which lists all objects."""
         if not self.stopped and status is CallStatus.OK and listing is not None:
             self.revision = max(self.revision, listing.revision)
-            self.listed(listing, called_at)
+            self._hand_on(self.listed, listing, called_at)
--- a/tests/direct/test_kind_watch.py
+++ b/tests/direct/test_kind_watch.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from twisted.internet.task import Clock
 
 from bramleydyke.direct.constants import POLLS_PER_FULL_POLL
@@ -217,3 +218,20 @@
     store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
     assert seen == [("listed", 5)]
     assert store.watches.pop()[0] == 5
+
+
+@pytest.mark.parametrize("fails", ["listed", "changed"])
+def test_an_answer_that_cannot_be_applied_does_not_end_the_watch(fails):
+    """Guards against a watch that ends with an exception of its receiver."""
+    store, clock = ScriptedStore(), Clock()
+
+    def fail(answer, at):
+        raise OverflowError("number too large")
+
+    watch, _, events = make_watch(store, clock)
+    setattr(watch, fails, fail)
+    watch.start()
+    store.lists.pop()(CallStatus.OK, Listing([], Revision(5)))
+    store.watches.pop()[1](CallStatus.OK, Changes([], Revision(7)))
+    assert store.watches.pop()[0] == 7
+    assert events == ["store_answer_failed"]
