Split the reports of the upstream from the agent

What it does with reports, stored entries and reminders has a module of its own, upstream_reports.py.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -219,8 +219,8 @@
     ),
     Mutation(
         "stay_silent_after_a_restart",
-        "agent.py",
-        "        if self.view.report is None:\n            self.announce(now=now)\n",
+        "upstream_reports.py",
+        "        elif self.view.report is None:\n            self.announce(now=now)\n",
         "",
         "direct",
     ),
@@ -429,7 +429,7 @@
     ),
     Mutation(
         "accept_a_drain_that_was_not_applied",
-        "agent.py",
+        "upstream_reports.py",
         "if report.draining and self.view.state(now=now) not in LEAVING_STATES:",
         "if False:",
         "direct",
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -17,9 +17,7 @@
     FLOW_IDLE_S,
     MAX_PROBES,
 )
-from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.messages import (
-    Announcement,
     EntryOutdated,
     Forward,
     HolderQuery,
@@ -45,16 +43,13 @@
     FlowTuple,
     NodeIp,
     Packet,
-    UpstreamState,
 )
 from bramleydyke.direct.upstream_flows import UpstreamFlow, UpstreamFlows
+from bramleydyke.direct.upstream_reports import UpstreamReports
 from bramleydyke.direct.upstream_view import Report, ReportResult, UpstreamView
 from bramleydyke.errors import ErrorKind, counter_name
 from bramleydyke.types import AvailabilityZone, ServiceId, UpstreamId
 
-LEAVING_STATES = frozenset({UpstreamState.DRAINING, UpstreamState.GONE})
-"""States in which a drain is in force."""
-
 
 class Probe(NamedTuple):
     """A packet sent to the upstream to learn whether it holds the flow.
@@ -84,6 +79,7 @@
         probes: Unanswered probes, by flow.
         admission: Decides which new flows open at the upstream, and when.
         announcer: Sends the upstream's state to balancers.
+        reports: Applies the reports of the upstream.
     """
 
     node: NodeIp
@@ -102,6 +98,7 @@
     probes: dict[FlowTuple, Probe] = field(default_factory=dict)
     admission: Admission = field(init=False)
     announcer: Announcer = field(init=False)
+    reports: UpstreamReports = field(init=False)
 
     def __post_init__(self) -> None:
         self.admission = Admission(
@@ -121,6 +118,16 @@
             send=self.send,
             record=self.record,
         )
+        self.reports = UpstreamReports(
+            service=self.service,
+            view=self.view,
+            flows=self.flows,
+            announcer=self.announcer,
+            announce=self.announce,
+            check_queue=self.admission.check_queue,
+            count=self.count,
+            record=self.record,
+        )
 
     # Callers' packets, which balancers forward.
 
@@ -143,7 +150,7 @@
                 else:
                     self._established(sender, message, packet, now=now)
             case Relayed() if message.announcement.node == self.node:
-                self._reminded(message.announcement, now=now)
+                self.reports.reminded(message.announcement, now=now)
             case EntryOutdated():
                 self.announcer.add_balancer(sender)
                 self.announcer.announce_to(sender, now=now)
@@ -151,30 +158,6 @@
             case _:
                 self.count(counter_name(ErrorKind.BAD_FRAME))
 
-    def _reminded(self, announced: Announcement, *, now: float) -> None:
-        """Adopts what the earlier process of this agent had announced.
-
-        Once the upstream has reported to this process, only the number of its
-        lifetime may change.
-        """
-        stored = self.view.stored_report
-        if announced.service != self.service:
-            return
-        if self.view.report is not None:
-            self.restore(entry_of(announced).report(), now=now)
-            return
-        if stored is not None and announced.lifetime < stored.lifetime:
-            return
-        self.record(
-            "state_recalled",
-            upstream=announced.upstream,
-            state=announced.state.value,
-            lifetime=announced.lifetime,
-            sequence=announced.sequence,
-        )
-        self.view.restore(entry_of(announced).report())
-        self.admission.check_queue(now=now)
-
     def _offered(
         self, sender: NodeIp, message: Offer, packet: Packet, *, now: float
     ) -> None:
@@ -392,53 +375,16 @@
     # Reports from the upstream.
 
     def report(self, report: Report, *, now: float) -> ReportResult:
-        """Applies a report of the upstream and announces the new state.
-
-        A drain that was not applied, because the report is late or may be
-        late, is not in force unless an earlier report had the same effect.
-        """
-        if report.service != self.service:
-            self.count(counter_name(ErrorKind.WRONG_SERVICE))
-            return ReportResult.WRONG_SERVICE
-        if self.view.apply(report, now=now):
-            self.announcer.revision = 0
-            self.announce(now=now)
-            return ReportResult.ACCEPTED
-        self.count("late.reports")
-        if self.view.unconfirmed is not None:
-            self.record(
-                "start_unconfirmed",
-                upstream=report.upstream,
-                born=report.born_at,
-                sequence=report.sequence,
-                lifetime=self.view.lifetime,
-            )
-            self.announce(now=now)
-        if report.draining and self.view.state(now=now) not in LEAVING_STATES:
-            return ReportResult.UNCONFIRMED
-        return ReportResult.ACCEPTED
+        """Applies a report; see ``UpstreamReports.report``."""
+        return self.reports.report(report, now=now)
 
     def restore(self, report: Report, *, now: float) -> None:
-        """Restores a report that was stored before this agent's restart.
-
-        The upstream is announced at once, so that balancers that got no answer
-        during the restart use the agent again.
-        """
-        earlier = self.view.lifetime
-        if self.view.restore(report):
-            self.flows.renumber(earlier, self.view.lifetime)
-            self.announcer.revision = 0
-            self.record(
-                "lifetime_renumbered", earlier=earlier, lifetime=self.view.lifetime
-            )
-            self.announce(now=now)
-        elif self.view.report is None:
-            self.announce(now=now)
+        """Restores a report that an earlier process of this agent stored."""
+        self.reports.restore(report, now=now)
 
     def upstream_ended(self, upstream: UpstreamId, *, now: float) -> None:
         """Handles an upstream's notice that it has ended."""
-        if self.view.mark_ended(upstream):
-            self.announce(now=now)
+        self.reports.ended(upstream, now=now)
 
     # Timers and shutdown.
 
