Number a lifetime above those of another service at the address

What callers saw: no new flow at an upstream whose address another service had used before, if the clock of its VM was behind that of the earlier one.

Cause: balancers order announcements by lifetime, whatever their service, and an agent ignored reminders that name another service.

Evidence: test_the_address_of_an_upstream_is_used_again_by_another_service failed before.

Change: the agent numbers its upstream above any lifetime that balancers know at its address. It still adopts no state of another service.

Measured: the test; tests/direct passes.

--- a/src/bramleydyke/direct/upstream_reports.py
+++ b/src/bramleydyke/direct/upstream_reports.py
@@ -96,15 +96,13 @@
         lifetime may change, which must be above that of any earlier upstream
         of this VM.
         """
-        if announced.service != self.service:
-            return
         report = entry_of(announced).report()
         if self.view.report is not None:
             self.restore(report, now=now)
             return
         stored = self.view.stored_report
         outdated = stored is not None and announced.lifetime < stored.lifetime
-        if outdated:
+        if announced.service != self.service or outdated:
             return
         self.record(
             "state_recalled",
--- a/tests/direct/test_lifetimes.py
+++ b/tests/direct/test_lifetimes.py
@@ -11,7 +11,7 @@
 
 import pytest
 from codec import pack
-from network import REPORT_S, SERVICE, Network, Upstream, system
+from network import OTHER, REPORT_S, SERVICE, Network, Upstream, system
 
 from bramleydyke.direct.entries import entry_of
 from bramleydyke.direct.messages import Forward, Load, Placed
@@ -284,3 +284,23 @@
     network.run(0.01)
     assert not network.resets
     assert (NODE, Forward(SERVICE, False, Lifetime(0), datagram)) in sent
+
+
+def test_the_address_of_an_upstream_is_used_again_by_another_service():
+    """Guards against a new upstream that counts as the older one.
+
+    The clock of the new VM is behind that of the old one.
+    """
+    network = system(6)
+    del network.agents[NODE]
+    old = network.upstreams.pop(NODE)
+    old.alive = False
+    new = Upstream(network, NODE, OTHER, started_ms=old.started_ms - STEP_MS)
+    network.upstreams[NODE] = new
+    network.start_agent(NODE)
+    network.report_loop(new)
+    network.run(2 * REPORT_S)
+    for balancer in network.balancers.values():
+        known = balancer.directory.entries[NODE].announcement
+        assert (known.service, known.state) == (OTHER, READY)
+        assert balancer.directory.lifetime_ended(NODE, old.started_ms)
