Check silent agents with a question that every version answers

What callers saw: nothing so far. While balancers and agents are replaced one VM at a time, a new balancer would have asked agents of the version before a question without flows, which they do not answer, and would have taken them for dead 4 s after one lost message.

Cause: the check was a query without flows, for which agents had to be changed.

Change: the check asks about a flow that no caller can have. Every agent answers that it does not hold it, or that it needs a probe. Messages are as before.

--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -416,7 +416,7 @@
     Mutation(
         "ask_silent_agents_once",
         "agent_checks.py",
-        "            self.send(node, HolderQuery(service, []))\n",
+        "            self.send(node, HolderQuery(service, [(NO_FLOW, 0)]))\n",
         "            pass\n",
         "direct",
     ),
--- a/src/bramleydyke/direct/agent.py
+++ b/src/bramleydyke/direct/agent.py
@@ -222,8 +222,7 @@
         """Answers a balancer's query about which flows the upstream holds.
 
         For each flow the answer is that the upstream holds it, that it does
-        not, or that only a probe can show whether it does. A query without
-        flows is a check whether this process runs.
+        not, or that only a probe can show whether it does.
         """
         absent: list[FlowTuple] = []
         probe_needed: list[FlowTuple] = []
@@ -236,7 +235,7 @@
                 absent.append(key)
             else:
                 probe_needed.append(key)
-        if absent or not message.flows:
+        if absent:
             self.send(sender, NotHeld(absent))
         if probe_needed:
             self.send(sender, ProbeNeeded(probe_needed))
--- a/src/bramleydyke/direct/agent_checks.py
+++ b/src/bramleydyke/direct/agent_checks.py
@@ -13,7 +13,13 @@
 from bramleydyke.direct.directory import Directory
 from bramleydyke.direct.messages import HolderQuery
 from bramleydyke.direct.ports import Send
-from bramleydyke.direct.types import NodeIp
+from bramleydyke.direct.types import FlowTuple, NodeIp
+
+NO_FLOW = FlowTuple(bytes(12))
+"""Flow in the question of a check: no caller has this address.
+
+Agents of every version answer a question about a flow that they do not hold.
+"""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -42,7 +48,19 @@
         self.asked = dict.fromkeys(silent, now)
         for node in silent:
             service = self.directory.entries[node].announcement.service
-            self.send(node, HolderQuery(service, []))
+            self.send(node, HolderQuery(service, [(NO_FLOW, 0)]))
+
+    def answered(self, node: NodeIp, flows: list[FlowTuple]) -> list[FlowTuple]:
+        """Handles an agent's answer; returns the flows that a lookup needs.
+
+        Args:
+            node: IP address of the agent.
+            flows: Flows that the agent was asked about.
+        """
+        if NO_FLOW not in flows:
+            return flows
+        self.directory.check_answered(node)
+        return [flow for flow in flows if flow != NO_FLOW]
 
     def resumed(self) -> None:
         """Discards unanswered questions, whose answers may not be read yet."""
--- a/src/bramleydyke/direct/balancer.py
+++ b/src/bramleydyke/direct/balancer.py
@@ -139,11 +139,10 @@
             case HandedOver():
                 self._handed_over(message, now=now)
             case NotHeld():
-                self.directory.check_answered(sender)
-                for flow in message.flows:
+                for flow in self.agent_checks.answered(sender, message.flows):
                     self.lookups.absent(flow, sender, now=now)
             case ProbeNeeded():
-                for flow in message.flows:
+                for flow in self.agent_checks.answered(sender, message.flows):
                     self.lookups.probe_needed(flow, sender, now=now)
             case Announcement() if message.node != sender:
                 self.count("refused.foreign_announcement")
--- a/src/bramleydyke/direct/messages.py
+++ b/src/bramleydyke/direct/messages.py
@@ -75,11 +75,7 @@
 
 
 class HolderQuery(Message, tag=10):
-    """Balancer to agent: asks which of these flows the upstream holds.
-
-    A query without flows asks only for an answer, which is then ``NotHeld``
-    without flows.
-    """
+    """Balancer to agent: asks which of these flows the upstream holds."""
 
     service: ServiceId
     flows: list[tuple[FlowTuple, int]]
--- a/tests/direct/test_flow_paths.py
+++ b/tests/direct/test_flow_paths.py
@@ -9,6 +9,7 @@
 from codec import flow_tuple, pack
 from network import OTHER, REPORT_S, ROUTE, SERVICE, Network, routes, system
 
+from bramleydyke.direct.agent_checks import NO_FLOW
 from bramleydyke.direct.constants import (
     AGENT_CHECK_S,
     DEAD_AGENT_S,
@@ -16,7 +17,7 @@
     OPENING_RETRY_S,
     REQUESTS_PER_SLOT,
 )
-from bramleydyke.direct.messages import NotHeld, Offer, encode
+from bramleydyke.direct.messages import NotHeld, Offer, ProbeNeeded, encode
 from bramleydyke.direct.round_trip import RoundTrip
 from bramleydyke.direct.types import Lifetime, NodeIp
 
@@ -584,7 +585,8 @@
     assert_answered(network, callers)
 
 
-def test_a_silent_agent_is_asked_until_it_answers():
+@pytest.mark.parametrize("knows_its_flows", [False, True])
+def test_a_silent_agent_is_asked_until_it_answers(knows_its_flows):
     """Guards against beliefs about an agent that nobody asks again."""
     network = system(1, balancers=1)
     node = NodeIp("10.0.2.2")
@@ -594,19 +596,21 @@
     network.run(DEAD_AGENT_S + 2 * AGENT_CHECK_S)
     assert balancer.directory.is_dead(node, now=network.now)
     agent.announcer.balancers.clear()
+    agent.view.started_after_agent = knows_its_flows
     network.agents[node] = agent
     network.run(2 * AGENT_CHECK_S)
     assert not balancer.directory.is_dead(node, now=network.now)
     assert not balancer.directory.silent_agents()
 
 
-def test_an_answer_to_a_check_does_not_end_a_suspicion():
+@pytest.mark.parametrize("answer", [NotHeld, ProbeNeeded])
+def test_an_answer_to_a_check_does_not_end_a_suspicion(answer):
     """Guards against new flows for an agent that is too slow to open them."""
     network = system(1, balancers=1)
     node = NodeIp("10.0.2.2")
     balancer = network.balancers[NodeIp("10.0.1.0")]
     balancer.directory.mark_suspect(node, now=network.now)
-    balancer.message_in(node, NotHeld([]), now=network.now)
+    balancer.message_in(node, answer([NO_FLOW]), now=network.now)
     assert not balancer.directory.silent_agents()
     assert not balancer.directory.is_responsive(node, now=network.now)
 
