Do not write an unchanged entry when an agent starts

What callers saw: nothing; the store got one write more for each agent that started, all at once after a loss of power.

Evidence: test_a_restarted_agent_does_not_write_an_unchanged_entry failed before.

Change: only the end of the upstream is stored at that point.

--- a/src/bramleydyke/daemons/direct_agent.py
+++ b/src/bramleydyke/daemons/direct_agent.py
@@ -259,8 +259,10 @@
             lifetime=entry.lifetime,
             sequence=entry.sequence,
         )
-        self.role.restore(entry.report(), now=self.clock.seconds())
-        self._store_entry()
+        now = self.clock.seconds()
+        self.role.restore(entry.report(), now=now)
+        if self.role.view.state(now=now) is UpstreamState.GONE:
+            self._store_entry()
 
     def _list_balancers(self, *, stale: bool = True) -> None:
         """Lists the balancers in the store and repeats this periodically.
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -334,3 +334,30 @@
     run_until(lambda: stopped)
     assert ("bramleydyke-upstreams", ip) not in system.store.objects
     del system.nodes[ip]
+
+
+def test_an_end_during_an_outage_of_the_store_removes_the_entry(system):
+    """Guards against an acknowledged end that a restarted agent forgets."""
+    ip = f"{system.network}.2.1"
+    run_until(lambda: entry_of(system, ip) is not None)
+    system.store.down = True
+    kill(system, ip)
+    agent = system.start_agent(1, "board")
+    system.upstreams[ip].deregister()
+    run_until(lambda: agent.role.view.left is not None or agent.role.view.ended)
+    system.store.down = False
+    run_until(lambda: entry_of(system, ip) is None)
+
+
+def test_a_restarted_agent_does_not_write_an_unchanged_entry(system):
+    """Guards against a write of each agent when many start at once."""
+    ip = f"{system.network}.2.1"
+    run_until(lambda: entry_of(system, ip) is not None)
+    system.upstreams[ip].stop()
+    revision = system.store.revision
+    kill(system, ip)
+    agent = system.start_agent(1, "board")
+    run_until(lambda: agent.role.view.stored_report is not None)
+    started_at = time.monotonic()
+    run_until(lambda: time.monotonic() > started_at + 0.5)
+    assert system.store.revision == revision
