Run the tests of the programs on a loopback network that is free

Change: the fixture takes the next network whose store address is free. What the tests check is the same.

Evidence: with a listener on 127.21.9.1:8169, the first test that got this network failed before; all 16 pass now.

--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import time
 from functools import reduce
-from itertools import count, product
+from itertools import product
 from pathlib import Path
 
 import pytest
@@ -18,6 +19,7 @@
     PORTS,
     REPORT_INTERVAL_S,
     ROUTE_IP,
+    STORE_PORT,
     PlatformSystem,
 )
 
@@ -25,7 +27,7 @@
 from reactor_harness import environment, reactor, run_until  # noqa: E402
 
 BOARD, VAULT = 8443, 80
-NETWORKS = count(20)
+NETWORKS = iter(range(20, 250))
 
 IN_FORCE_S = 3.0
 """Maximum time until a new configuration is in force."""
@@ -34,10 +36,24 @@
 """Maximum time until entries that a restore has lost are stored again."""
 
 
+def free_network() -> str:
+    """Returns a loopback network that no other run on this machine uses."""
+    for number in NETWORKS:
+        with socket.socket() as probe:
+            # Connections of an earlier run may still be in TIME_WAIT.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((f"127.{number}.9.1", STORE_PORT))
+            except OSError:
+                continue
+            return f"127.{number}"
+    raise OSError("no loopback network is free")
+
+
 @pytest.fixture
 def system():
     environment()
-    new_system = PlatformSystem(reactor=reactor, network=f"127.{next(NETWORKS)}")
+    new_system = PlatformSystem(reactor=reactor, network=free_network())
     new_system.start({BOARD: "board", VAULT: "vault"})
     for number in (1, 2):
         new_system.add_balancer(number)
