--- a/scripts/mutation_check.py
+++ b/scripts/mutation_check.py
@@ -248,15 +248,15 @@
     Mutation(
         "reset_without_knowing_all",
         "lookups.py",
-        "dead = self.directory.complete and not unknown",
-        "dead = not unknown",
+        "certain = self.directory.complete and not lookup.partial",
+        "certain = not lookup.partial",
         "direct",
     ),
     Mutation(
         "reset_before_all_answered",
         "lookups.py",
-        "complete and not unknown and not lookup",
-        "complete and not lookup",
+        "dead = certain and not unknown",
+        "dead = certain",
         "direct",
     ),
     Mutation(
@@ -325,8 +325,8 @@
     Mutation(
         "forget_to_remind_agents",
         "balancer.py",
-        "if leaving and known.order() > announced.order():",
-        "if False:",
+        "        outdated = leaving and known.order() > announced.order()\n",
+        "        outdated = False\n",
         "direct",
     ),
     Mutation(
